--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: each prints one JSON object and takes a seed."""
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/admission.py
@@ -0,0 +1,154 @@
+"""Slots, queue and shedding: when a request starts, if at all."""
+
+from bisect import insort
+from keelgap_agent import defaults
+from keelgap_agent.effects import (
+    AgentEffect,
+    AskPeer,
+    Count,
+    Observe,
+    StartRequest,
+)
+from keelgap_agent.peers import choose_peer
+from keelgap_agent.settling import refuse
+from keelgap_agent.state import AgentState, Phase, Request
+
+__all__ = (
+    'admit',
+    'drop_expired',
+    'estimate_wait',
+    'pass_to_peer',
+    'release',
+    'start_waiting',
+)
+
+Effects = tuple[AgentEffect, ...]
+
+
+def admit(state: AgentState, request: Request, now: float) -> Effects:
+    """Start a request, pass it to another agent, queue it or refuse it."""
+    if state.is_leaving:
+        return _pass_or_refuse(state, request, now, 'leaving')
+    if state.is_down(now):
+        return _pass_or_refuse(state, request, now, 'upstream_down')
+    if not request.traffic_class.takes_slot:
+        return _start(state, request, now)
+    if state.busy < state.count_slots(now) and not state.queue:
+        return _start(state, request, now)
+    if request.run_only:
+        return refuse(state, request, 'busy', 0)
+    passed = pass_to_peer(state, request, now)
+    return passed or _enqueue(state, request, now)
+
+
+def _pass_or_refuse(
+    state: AgentState,
+    request: Request,
+    now: float,
+    reason: str,
+) -> Effects:
+    passed = pass_to_peer(state, request, now)
+    return passed or refuse(state, request, reason, 0)
+
+
+def pass_to_peer(
+    state: AgentState,
+    request: Request,
+    now: float,
+) -> Effects:
+    """Have another agent run a request that has not started, once.
+
+    A share of first attempts pays for it, so that an overload of the whole
+    service does not double its own load.
+    """
+    movable = request.portable and not request.from_peer
+    if request.moved or not movable or state.budget < 1:
+        return ()
+    peer = choose_peer(state)
+    if peer is None:
+        return ()
+    state.budget -= 1
+    request.moved = True
+    request.phase = Phase.PASSED
+    request.asked_at = now
+    remaining = request.deadline_at - now
+    ask = AskPeer(request.request_id, peer, True, remaining)
+    return ask, Count('requests_passed_on')
+
+
+def _enqueue(state: AgentState, request: Request, now: float) -> Effects:
+    wait = estimate_wait(state, request, now)
+    if now + wait > request.deadline_at:
+        return refuse(state, request, 'deadline_too_near', wait)
+    limit = state.service.queue_limit if state.service else 0
+    effects: Effects = ()
+    if len(state.queue) >= limit:
+        last = state.queue[-1] if state.queue else request
+        if _order(last) <= _order(request):
+            return refuse(state, request, 'queue_full', wait)
+        state.queue.pop()
+        effects = refuse(state, last, 'displaced', wait)
+    request.phase = Phase.QUEUED
+    insort(state.queue, request, key=_order)
+    return effects
+
+
+def _order(request: Request) -> tuple[int, float, int]:
+    priority = request.traffic_class.priority
+    return (priority, request.arrived, request.request_id)
+
+
+def estimate_wait(state: AgentState, request: Request, now: float) -> float:
+    """Return the seconds until a request would get a slot."""
+    order = _order(request)
+    ahead = sum(_order(other) < order for other in state.queue)
+    slots = max(1, state.count_slots(now))
+    return (ahead + 1) * state.service_seconds / slots
+
+
+def _start(state: AgentState, request: Request, now: float) -> Effects:
+    if request.traffic_class.takes_slot:
+        state.busy += 1
+    request.phase = Phase.RUNNING
+    request.started = now
+    state.refusals = 0
+    return (
+        StartRequest(request.request_id, request.deadline_at - now),
+        Observe(
+            'queue_seconds',
+            request.traffic_class.name,
+            now - request.arrived,
+        ),
+    )
+
+
+def release(state: AgentState, request: Request, now: float) -> None:
+    """Free the slot of a request that ended."""
+    if request.phase is Phase.RUNNING and request.traffic_class.takes_slot:
+        state.busy -= 1
+        weight = defaults.SERVICE_TIME_SMOOTHING
+        newest = now - request.started
+        state.service_seconds += weight * (newest - state.service_seconds)
+
+
+def start_waiting(state: AgentState, now: float) -> Effects:
+    """Give free slots to those who wait, the most important first."""
+    effects: list[AgentEffect] = []
+    slots = state.count_slots(now)
+    while state.queue and state.busy < slots:
+        request = state.queue.pop(0)
+        if request.deadline_at <= now:
+            effects.extend(refuse(state, request, 'deadline', 0))
+        else:
+            effects.extend(_start(state, request, now))
+    return tuple(effects)
+
+
+def drop_expired(state: AgentState, now: float) -> Effects:
+    """Refuse requests at once when their deadline passes in the queue."""
+    expired = [request for request in state.queue if request.deadline_at <= now]
+    effects: list[AgentEffect] = []
+    for request in expired:
+        state.queue.remove(request)
+        effects.extend(refuse(state, request, 'deadline', 0))
+    return tuple(effects)
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/driver.py
@@ -0,0 +1,191 @@
+"""The agent's driver: events through the reducer, effects to the world."""
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+from keelgap.addresses import Address
+from keelgap.control.channel import ControlChannel
+from keelgap.control.messages import Answer, Ask
+from keelgap_agent import effects, events
+from keelgap_agent.connections import CallerConnection, ConnectionHooks
+from keelgap_agent.defaults import TIMER_SECONDS
+from keelgap_agent.flow_effects import FlowEffects
+from keelgap_agent.flow_table import FlowTable, Offer
+from keelgap_agent.metrics import AgentMetrics
+from keelgap_agent.peer_requests import (
+    PeerRequest,
+    read_answer,
+    read_problem,
+)
+from keelgap_agent.reducer import reduce
+from keelgap_agent.request_effects import RequestEffects
+from keelgap_agent.state import AgentState
+from keelgap_agent.streams import CallerStream
+from keelgap_agent.upstream import UpstreamClient
+
+__all__ = ('AgentDriver', 'AgentPorts')
+
+
+class AgentPorts(NamedTuple):
+    """What the driver acts through."""
+
+    flows: FlowTable
+    upstream: UpstreamClient
+    control: ControlChannel
+    metrics: AgentMetrics
+
+
+class AgentDriver:
+    """Run the reducer against connections, the upstream and peers."""
+
+    def __init__(self, state: AgentState) -> None:
+        """Start with a state; ports are connected before anything runs."""
+        self.state = state
+        self.ports: AgentPorts
+        self.loop = asyncio.get_running_loop()
+        self.exited = asyncio.Event()
+        self.flow_effects = FlowEffects(self)
+        self.request_effects = RequestEffects(self)
+        self.request_ids = count(1)
+        self.connection_hooks = ConnectionHooks(
+            self._handle_request,
+            self._handle_cancelled,
+            self._handle_closed,
+            self._transmit,
+            lambda: next(self.request_ids),
+            lambda connection_id: self.ports.flows.forget_id(connection_id),
+        )
+        self.effect_handlers = self._map_handlers()
+
+    def dispatch(self, event: events.AgentEvent) -> None:
+        """Reduce an event and carry out the effects."""
+        state, emitted = reduce(self.state, event)
+        self.state = state
+        for effect in emitted:
+            self.effect_handlers[type(effect)](effect)
+
+    async def run_timer(self) -> None:
+        """Feed the reducer's timer until cancelled."""
+        while True:
+            await asyncio.sleep(TIMER_SECONDS)
+            self.dispatch(events.TimerFired(self.loop.time()))
+            self.ports.flows.return_path.forget_old(self.loop.time())
+
+    def handle_offer(self, offer: Offer) -> None:
+        """Have admission look at a first datagram."""
+        self.flow_effects.offer = offer
+        envelope = offer.envelope
+        self.dispatch(
+            events.FlowOffered(
+                self.loop.time(),
+                offer.header.destination_cid,
+                envelope.service,
+                envelope.candidates,
+                envelope.turn,
+                self.ports.flows.count_handshakes(),
+                offer.validated,
+            ),
+        )
+
+    def handle_ask(self, asker: Address, ask: Ask) -> None:
+        """Take a request of a peer, unless it is in progress already."""
+        asks = self.request_effects.peer_asks
+        if (asker, ask.ask_id) in asks:
+            return
+        request = PeerRequest(
+            next(self.request_ids),
+            asker,
+            ask,
+            self.request_effects.answer_peer,
+        )
+        asks[asker, ask.ask_id] = request
+        self.request_effects.exchanges[request.request_id] = request
+        self.dispatch(
+            events.PeerAsked(
+                self.loop.time(),
+                request.request_id,
+                request.head,
+                ask.run_only,
+            ),
+        )
+
+    def handle_answer(self, answer: Answer) -> None:
+        """Take a peer's answer to an ask of ours."""
+        self.dispatch(
+            events.PeerAnswered(
+                self.loop.time(),
+                answer.ask_id,
+                read_answer(answer),
+                read_problem(answer),
+            ),
+        )
+
+    def note_upstream_state(self, draining: bool) -> None:
+        """Take what the upstream says of itself."""
+        now = self.loop.time()
+        if draining != self.state.leaving_by_upstream:
+            self.dispatch(events.UpstreamStateRead(now, draining))
+
+    def _map_handlers(self) -> MappingProxyType[type, Callable[[Any], None]]:
+        flow = self.flow_effects
+        request = self.request_effects
+        return MappingProxyType({
+            effects.TakeFlow: flow.take_flow,
+            effects.PassFlow: flow.pass_flow,
+            effects.ChallengeFlow: flow.challenge_flow,
+            effects.RefuseFlow: flow.refuse_flow,
+            effects.StopNewRequests: flow.stop_new_requests,
+            effects.EndFlow: flow.end_flow,
+            effects.StartRequest: request.start_request,
+            effects.CancelRun: request.cancel_run,
+            effects.AnswerRequest: request.answer_request,
+            effects.RefuseRequest: request.refuse_request,
+            effects.IssueTicket: request.issue_ticket,
+            effects.AskPeer: request.ask_peer,
+            effects.Drop: self._drop,
+            effects.Count: self._count,
+            effects.Observe: self._observe,
+            effects.Exit: self._exit,
+        })
+
+    def _handle_request(self, stream: CallerStream) -> None:
+        self.request_effects.exchanges[stream.request_id] = stream
+        self.dispatch(
+            events.RequestArrived(
+                self.loop.time(),
+                stream.request_id,
+                stream.port.flow_id,
+                stream.head,
+            ),
+        )
+
+    def _handle_cancelled(self, stream: CallerStream) -> None:
+        if stream.announced:
+            now = self.loop.time()
+            self.dispatch(events.RequestCancelled(now, stream.request_id))
+            if stream.request_id not in self.request_effects.runs:
+                self.request_effects.exchanges.pop(stream.request_id, None)
+
+    def _handle_closed(self, connection: CallerConnection) -> None:
+        self.ports.flows.forget(connection)
+        now = self.loop.time()
+        self.dispatch(events.FlowClosed(now, connection.flow_id))
+
+    def _transmit(self, connection: CallerConnection) -> None:
+        self.ports.flows.transmit(connection)
+
+    def _drop(self, effect: effects.Drop) -> None:
+        self.ports.metrics.drops.labels(effect.reason).inc()
+
+    def _count(self, effect: effects.Count) -> None:
+        self.ports.metrics.events.labels(effect.name).inc()
+
+    def _observe(self, effect: effects.Observe) -> None:
+        histogram = self.ports.metrics.histograms[effect.name]
+        histogram.labels(effect.traffic_class).observe(effect.seconds)
+
+    def _exit(self, effect: effects.Exit) -> None:
+        self.exited.set()
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/flow_effects.py
@@ -0,0 +1,81 @@
+"""Effects on flows: take, pass on, refuse, announce, end."""
+
+from typing import TYPE_CHECKING
+
+from keelgap.wire.encapsulation import MessageKind
+from keelgap_agent import effects, events
+from keelgap_agent.flow_table import FlowTable, Offer
+from keelgap_agent.handshakes import make_refusal
+
+if TYPE_CHECKING:
+    from keelgap_agent.driver import AgentDriver
+
+__all__ = ('FlowEffects',)
+
+
+class FlowEffects:
+    """Carry out what the reducer decided about flows."""
+
+    def __init__(self, driver: 'AgentDriver') -> None:
+        """Act through the ports of a driver."""
+        self.driver = driver
+        #: The first datagram that admission looks at now.
+        self.offer: Offer
+
+    @property
+    def flows(self) -> FlowTable:
+        """Return the flows that are open."""
+        return self.driver.ports.flows
+
+    def take_flow(self, effect: effects.TakeFlow) -> None:
+        """Open a connection and feed it the first datagram."""
+        offer = self.offer
+        flows = self.flows
+        connection = flows.take(offer, self.driver.connection_hooks)
+        now = self.driver.loop.time()
+        self.driver.dispatch(events.FlowOpened(now, connection.flow_id))
+        flows.feed(connection, offer.envelope.payload, offer.via)
+
+    def pass_flow(self, effect: effects.PassFlow) -> None:
+        """Send the first datagram to the next candidate."""
+        offer = self.offer
+        passed = offer.envelope._replace(
+            kind=MessageKind.HANDOVER,
+            via=offer.via,
+            turn=effect.turn,
+        )
+        self.flows.sender.send(effect.agent, passed)
+        self.flows.sender.acknowledge(offer.via)
+
+    def challenge_flow(self, effect: effects.ChallengeFlow) -> None:
+        """Answer with a Retry."""
+        offer = self.offer
+        flows = self.flows
+        caller = offer.envelope.caller
+        retry = flows.validator.make_retry(
+            offer.header,
+            caller,
+            self.driver.loop.time(),
+        )
+        flows.sender.send_to_caller(offer.via, caller, retry)
+
+    def refuse_flow(self, effect: effects.RefuseFlow) -> None:
+        """Answer with CONNECTION_REFUSED."""
+        offer = self.offer
+        refusal = make_refusal(offer.header)
+        self.flows.sender.send_to_caller(
+            offer.via,
+            offer.envelope.caller,
+            refusal,
+        )
+
+    def stop_new_requests(self, effect: effects.StopNewRequests) -> None:
+        """Send GOAWAY on every connection."""
+        for connection in tuple(self.flows.flows.values()):
+            connection.stop_new_requests()
+
+    def end_flow(self, effect: effects.EndFlow) -> None:
+        """Close a connection that has no request left."""
+        connection = self.flows.flows.get(effect.flow_id)
+        if connection is not None:
+            connection.close()
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/flow_table.py
@@ -0,0 +1,252 @@
+"""The agent's data port: envelopes in, connections, envelopes out."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import NamedTuple
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.packet import QuicHeader
+
+from keelgap.addresses import Address
+from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
+from keelgap.sockets import bind_datagram, make_reader
+from keelgap.wire.encapsulation import Envelope, MessageKind
+from keelgap.wire.exceptions import (
+    ForeignService,
+    ForgedConnectionId,
+    UnknownKind,
+    WireError,
+)
+from keelgap.wire.packets import parse_header
+from keelgap_agent import handshakes
+from keelgap_agent.connections import CallerConnection, ConnectionHooks
+from keelgap_agent.quic import AgentQuicConnection, HandshakeIds
+from keelgap_agent.return_path import ReturnPath
+from keelgap_agent.sender import EnvelopeSender
+
+__all__ = ('FlowHooks', 'FlowTable', 'Offer')
+
+
+class Offer(NamedTuple):
+    """A first datagram that admission has to look at."""
+
+    envelope: Envelope
+    #: Balancer through which the caller is reached.
+    via: Address
+    header: QuicHeader
+    ids: HandshakeIds
+    validated: bool
+
+
+class FlowHooks(NamedTuple):
+    """What the flow table asks its driver."""
+
+    on_offer: Callable[[Offer], None]
+    accepts_service: Callable[[int], bool]
+    on_revision_seen: Callable[[Address, int], None]
+
+
+class FlowTable:
+    """All flows of one agent, by the connection ids that reach them."""
+
+    def __init__(
+        self,
+        owner: FlowOwner,
+        codec: ConnectionIdCodec,
+        sender: EnvelopeSender,
+        configuration: QuicConfiguration,
+        hooks: FlowHooks,
+    ) -> None:
+        """Take what the table works with; nothing is bound yet."""
+        self.owner = owner
+        self.codec = codec
+        self.sender = sender
+        self.configuration = configuration
+        self.hooks = hooks
+        self.loop = asyncio.get_running_loop()
+        self.validator = handshakes.AddressValidator(self.codec, owner)
+        self.return_path = ReturnPath()
+        self.by_id: dict[bytes, CallerConnection] = {}
+        self.flows: dict[int, CallerConnection] = {}
+        self.next_flow_id = 1
+
+    def start(self, stack: ExitStack) -> None:
+        """Bind the data port; the stack closes it."""
+        sock = bind_datagram('listen.data_port', self.owner.agent)
+        stack.callback(sock.close)
+        self.sender.sock = sock
+        self.loop.add_reader(sock, make_reader(sock, self._read))
+        stack.callback(self.loop.remove_reader, sock)
+        stack.callback(self._stop_timers)
+
+    def serve(self, service: int) -> None:
+        """Issue connection ids for the number that the table gives."""
+        self.owner = self.owner._replace(service=service)
+        self.validator.owner = self.owner
+
+    def count_handshakes(self) -> int:
+        """Return how many flows are not established yet."""
+        return sum(
+            not connection.quic.is_established
+            for connection in self.flows.values()
+        )
+
+    def take(self, offer: Offer, hooks: ConnectionHooks) -> CallerConnection:
+        """Open a connection for an offer and feed it the first datagram."""
+        envelope = offer.envelope
+        quic = AgentQuicConnection(
+            self.configuration,
+            offer.ids,
+            self.codec,
+            self.owner,
+        )
+        connection = CallerConnection(
+            self.next_flow_id,
+            quic,
+            envelope.caller,
+            hooks,
+        )
+        self.next_flow_id += 1
+        self.flows[connection.flow_id] = connection
+        self._register(connection, offer.header.destination_cid)
+        return connection
+
+    def feed(
+        self,
+        connection: CallerConnection,
+        datagram: bytes,
+        via: Address,
+    ) -> None:
+        """Hand a datagram to its connection and send what it answers."""
+        connection.via = via
+        now = self.loop.time()
+        connection.quic.receive_datagram(datagram, connection.caller, now)
+        connection.process_events()
+        connection.wake_senders()
+        self.transmit(connection)
+
+    def transmit(self, connection: CallerConnection) -> None:
+        """Send what a connection has to send and set its timer anew."""
+        now = self.loop.time()
+        via = self.return_path.choose(connection.via, now)
+        for datagram, _ in connection.quic.datagrams_to_send(now):
+            self.sender.send_to_caller(via, connection.caller, datagram)
+        while connection.quic.issued:
+            self._register(connection, connection.quic.issued.popleft())
+        self._set_timer(connection)
+
+    def forget_id(self, connection_id: bytes) -> None:
+        """Drop a connection id that its caller retired."""
+        self.by_id.pop(connection_id, None)
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Drop a connection that has ended."""
+        if connection.timer is not None:
+            connection.timer.cancel()
+        self.flows.pop(connection.flow_id, None)
+        for connection_id in connection.ids:
+            self.by_id.pop(connection_id, None)
+
+    def _read(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        try:
+            self._take_datagram(datagram, Address(*sender))
+        except WireError as error:
+            self.sender.metrics.drops.labels(error.code).inc()
+
+    def _take_datagram(self, datagram: bytes, sender: Address) -> None:
+        envelope = self.sender.envelopes.open(datagram, sender)
+        self.hooks.on_revision_seen(sender, envelope.revision)
+        kind = envelope.kind
+        now = self.loop.time()
+        if kind is MessageKind.PROBE:
+            self.sender.acknowledge(sender)
+        elif kind is MessageKind.LEAVING:
+            self.return_path.note_leaving(sender, now)
+        elif kind is MessageKind.FORWARD:
+            self.return_path.note_heard(sender, now)
+            self._handle_packet(envelope, sender)
+        elif kind is MessageKind.HANDOVER:
+            self._handle_packet(envelope, envelope.via)
+        else:
+            raise UnknownKind
+
+    def _handle_packet(self, envelope: Envelope, via: Address) -> None:
+        if not self.hooks.accepts_service(envelope.service):
+            raise ForeignService
+        header = parse_header(envelope.payload)
+        connection = self.by_id.get(header.destination_id)
+        if connection:
+            self.feed(connection, envelope.payload, via)
+        elif header.may_open_flow:
+            self._offer(envelope, via)
+        else:
+            self._reset(envelope, header.destination_id, via)
+
+    def _offer(self, envelope: Envelope, via: Address) -> None:
+        initial = handshakes.parse_initial(
+            envelope.payload,
+            self.configuration,
+        )
+        header = initial.header
+        if not initial.is_supported:
+            negotiation = handshakes.make_version_negotiation(
+                header,
+                self.configuration,
+            )
+            self.sender.send_to_caller(via, envelope.caller, negotiation)
+            return
+        ids = HandshakeIds(header.destination_cid, None)
+        validated = bool(header.token)
+        if validated:
+            now = self.loop.time()
+            ids = self.validator.check(header, envelope.caller, now)
+        offer = Offer(envelope, via, header, ids, validated)
+        self.hooks.on_offer(offer)
+
+    def _reset(
+        self,
+        envelope: Envelope,
+        connection_id: bytes,
+        via: Address,
+    ) -> None:
+        if self.codec.read(connection_id) != self.owner:
+            raise ForgedConnectionId
+        token = self.codec.compute_reset_token(connection_id)
+        reset = handshakes.make_stateless_reset(envelope.payload, token)
+        if reset is not None:
+            self.sender.metrics.events.labels('stateless_resets').inc()
+            self.sender.send_to_caller(via, envelope.caller, reset)
+
+    def _register(
+        self,
+        connection: CallerConnection,
+        connection_id: bytes,
+    ) -> None:
+        connection.ids.add(connection_id)
+        self.by_id[connection_id] = connection
+
+    def _set_timer(self, connection: CallerConnection) -> None:
+        if connection.timer is not None:
+            connection.timer.cancel()
+            connection.timer = None
+        due = connection.quic.get_timer()
+        if due is not None and not connection.closed:
+            connection.timer = self.loop.call_at(
+                due,
+                self._handle_timer,
+                connection,
+            )
+
+    def _handle_timer(self, connection: CallerConnection) -> None:
+        connection.timer = None
+        connection.quic.handle_timer(self.loop.time())
+        connection.process_events()
+        connection.wake_senders()
+        if not connection.closed:
+            self.transmit(connection)
+
+    def _stop_timers(self) -> None:
+        for connection in self.flows.values():
+            if connection.timer is not None:
+                connection.timer.cancel()
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/keyed.py
@@ -0,0 +1,216 @@
+"""Requests that must run at most once: settle each key at its issuer."""
+
+from keelgap.addresses import Address
+from keelgap_agent import defaults
+from keelgap_agent.admission import admit
+from keelgap_agent.effects import (
+    AgentEffect,
+    AskPeer,
+    Count,
+    IssueTicket,
+    RefuseRequest,
+)
+from keelgap_agent.events import RequestHead
+from keelgap_agent.ledger import EntryState, LedgerEntry, LedgerKey
+from keelgap_agent.peers import is_listed
+from keelgap_agent.problems import (
+    LEDGER_FULL,
+    MALFORMED_KEY,
+    OUTCOME_PENDING,
+    OUTCOME_UNKNOWN,
+    TICKET_EXPIRED,
+    TICKET_REFUSED,
+    TICKET_REQUIRED,
+    UPSTREAM_FAILED,
+    Problem,
+    ProblemType,
+)
+from keelgap_agent.settling import make_answer, refuse, settle
+from keelgap_agent.state import AgentState, Phase, Request
+from keelgap_agent.tickets import (
+    MalformedKey,
+    Ticket,
+    TicketRefused,
+    split_key,
+)
+
+__all__ = ('ask_issuers_again', 'issue_ticket', 'settle_keyed')
+
+Effects = tuple[AgentEffect, ...]
+
+
+def issue_ticket(
+    state: AgentState,
+    request: Request,
+    head: RequestHead,
+    now: float,
+) -> Effects:
+    """Answer with a ticket that this incarnation will honour."""
+    service = state.service
+    if service is None or state.is_leaving or state.ledger.is_full:
+        return _refuse_with(state, request, LEDGER_FULL, 'no_ticket')
+    age = int(now - state.identity.started)
+    ticket = Ticket(
+        state.identity.control,
+        state.identity.incarnation,
+        service.number,
+        state.ledger.take_serial(),
+        age + defaults.TICKET_SECONDS,
+        head.caller,
+    )
+    text = state.tickets.encode(ticket)
+    effect = IssueTicket(request.request_id, text)
+    return settle(state, request.request_id, effect)
+
+
+def settle_keyed(
+    state: AgentState,
+    request: Request,
+    head: RequestHead,
+    now: float,
+) -> Effects:
+    """Run a keyed request, repeat its outcome, or ask its issuer."""
+    if head.key is None:
+        return _refuse_with(state, request, TICKET_REQUIRED, 'no_key')
+    try:
+        ticket, suffix = _read_key(state, head.key)
+    except MalformedKey:
+        return _refuse_with(state, request, MALFORMED_KEY, 'malformed_key')
+    except TicketRefused:
+        return _refuse_with(state, request, TICKET_REFUSED, 'forged')
+    stranger = _find_stranger(state, head, ticket)
+    if stranger is not None:
+        return _refuse_with(state, request, TICKET_REFUSED, stranger)
+    if ticket.issuer != state.identity.control:
+        return _ask_issuer(state, request, ticket.issuer, now)
+    if ticket.incarnation != state.identity.incarnation:
+        return _refuse_with(state, request, OUTCOME_UNKNOWN, 'restarted')
+    key = LedgerKey(ticket.serial, ticket.caller, suffix)
+    return _settle_own(state, request, (key, ticket), now)
+
+
+def _read_key(state: AgentState, text: str) -> tuple[Ticket, str]:
+    ticket_text, suffix = split_key(text)
+    return state.tickets.decode(ticket_text), suffix
+
+
+def _find_stranger(
+    state: AgentState,
+    head: RequestHead,
+    ticket: Ticket,
+) -> str | None:
+    if state.service is None or ticket.service != state.service.number:
+        return 'foreign_service'
+    if ticket.caller != head.caller:
+        return 'foreign_caller'
+    return None
+
+
+def _settle_own(
+    state: AgentState,
+    request: Request,
+    claim: tuple[LedgerKey, Ticket],
+    now: float,
+) -> Effects:
+    key, ticket = claim
+    entry = state.ledger.find(key)
+    if entry is not None:
+        return _repeat(state, request, key, entry)
+    expires_at = state.identity.started + ticket.expiry
+    if now >= expires_at:
+        return _refuse_with(state, request, TICKET_EXPIRED, 'expired')
+    request.key = key
+    request.key_expires_at = expires_at + defaults.LEDGER_RETENTION_SECONDS
+    if ticket.serial < state.ledger.floor or state.ledger.is_full:
+        return refuse(state, request, 'ledger_full', 0)
+    if request.from_peer and not request.portable:
+        return refuse(state, request, 'body_not_sent', 0)
+    state.ledger.admit(key, request.key_expires_at)
+    return admit(state, request, now)
+
+
+def _repeat(
+    state: AgentState,
+    request: Request,
+    key: LedgerKey,
+    entry: LedgerEntry,
+) -> Effects:
+    if entry.state is EntryState.ADMITTED:
+        request.phase = Phase.WAITING
+        request.key = key
+        entry.waiters.append(request.request_id)
+        return (Count('keyed_attempts_waiting'),)
+    if entry.state is EntryState.TOMBSTONE:
+        request.key = key
+        request.key_expires_at = entry.expires_at
+        return refuse(state, request, 'refused_before', 0)
+    if entry.answer is None:
+        return _refuse_with(state, request, UPSTREAM_FAILED, 'broke_off')
+    repeated = make_answer(request.request_id, entry.answer)
+    return (
+        Count('keyed_answers_repeated'),
+        *settle(state, request.request_id, repeated),
+    )
+
+
+def _ask_issuer(
+    state: AgentState,
+    request: Request,
+    issuer: Address,
+    now: float,
+) -> Effects:
+    if request.from_peer:
+        # Only the issuer itself is ever asked: an ask is not passed on.
+        return _refuse_with(state, request, TICKET_REFUSED, 'not_issuer')
+    request.phase = Phase.ASKING
+    request.issuer = issuer
+    request.asked_at = now
+    return _make_ask(request, issuer, now), Count('issuers_asked')
+
+
+def _make_ask(request: Request, issuer: Address, now: float) -> AskPeer:
+    remaining = request.deadline_at - now
+    return AskPeer(request.request_id, issuer, False, remaining)
+
+
+def ask_issuers_again(state: AgentState, now: float) -> Effects:
+    """Repeat asks without an answer, and give up on the hopeless ones."""
+    asking = [
+        request
+        for request in state.requests.values()
+        if request.phase is Phase.ASKING
+    ]
+    effects: list[AgentEffect] = []
+    for request in asking:
+        effects.extend(_ask_again(state, request, now))
+    return tuple(effects)
+
+
+def _ask_again(state: AgentState, request: Request, now: float) -> Effects:
+    issuer = request.issuer
+    if issuer is None:
+        return ()
+    waited = now - request.arrived
+    if waited >= defaults.ASK_TIMEOUT_SECONDS or now >= request.deadline_at:
+        gone = not is_listed(state, issuer)
+        kind = OUTCOME_UNKNOWN if gone else OUTCOME_PENDING
+        return _refuse_with(state, request, kind, 'issuer_silent')
+    if now - request.asked_at < defaults.ASK_RETRY_SECONDS:
+        return ()
+    request.asked_at = now
+    return (_make_ask(request, issuer, now),)
+
+
+def _refuse_with(
+    state: AgentState,
+    request: Request,
+    kind: ProblemType,
+    reason: str,
+) -> Effects:
+    retry_after = defaults.ASK_RETRY_SECONDS if kind.is_passing else None
+    problem = Problem(kind, reason, retry_after)
+    refusal = RefuseRequest(request.request_id, problem)
+    return (
+        Count(f'keyed_refused_{reason}'),
+        *settle(state, request.request_id, refusal),
+    )
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/reducer.py
@@ -0,0 +1,80 @@
+"""The agent's reducer: ``(state, event) -> (state, effects)``.
+
+The state object is owned by the reducer and changed in place, as in the
+balancer.
+"""
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any, Final
+
+from keelgap_agent import events
+from keelgap_agent.admission import drop_expired, start_waiting
+from keelgap_agent.drain import (
+    change_instances,
+    change_table,
+    check_exit,
+    read_upstream_state,
+    request_stop,
+)
+from keelgap_agent.effects import AgentEffect
+from keelgap_agent.flows import (
+    close_flow,
+    forget_handovers,
+    offer_flow,
+    open_flow,
+)
+from keelgap_agent.keyed import ask_issuers_again
+from keelgap_agent.requests import (
+    arrive,
+    ask,
+    cancel,
+    finish,
+    give_up_on_peers,
+    take_peer_answer,
+)
+from keelgap_agent.state import AgentState
+
+__all__ = ('reduce',)
+
+Effects = tuple[AgentEffect, ...]
+
+
+def reduce(
+    state: AgentState,
+    event: events.AgentEvent,
+) -> tuple[AgentState, Effects]:
+    """Return the state after an event and what the driver must do."""
+    return state, _HANDLERS[type(event)](state, event)
+
+
+def _handle_timer(state: AgentState, event: events.TimerFired) -> Effects:
+    forget_handovers(state, event.now)
+    state.ledger.forget_expired(event.now)
+    return (
+        *drop_expired(state, event.now),
+        *start_waiting(state, event.now),
+        *ask_issuers_again(state, event.now),
+        *give_up_on_peers(state, event.now),
+        *check_exit(state, event.now),
+    )
+
+
+_HANDLERS: Final = MappingProxyType[
+    type,
+    Callable[[AgentState, Any], Effects],
+]({
+    events.FlowOffered: offer_flow,
+    events.FlowOpened: open_flow,
+    events.FlowClosed: close_flow,
+    events.RequestArrived: arrive,
+    events.RequestCancelled: cancel,
+    events.RequestFinished: finish,
+    events.PeerAsked: ask,
+    events.PeerAnswered: take_peer_answer,
+    events.UpstreamStateRead: read_upstream_state,
+    events.TableChanged: change_table,
+    events.InstancesChanged: change_instances,
+    events.TimerFired: _handle_timer,
+    events.StopRequested: request_stop,
+})
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/request_effects.py
@@ -0,0 +1,145 @@
+"""Effects on requests: run, cancel, answer, refuse, ask a peer."""
+
+import asyncio
+from functools import partial
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+from keelgap.addresses import Address
+from keelgap.control.messages import Answer, Ask
+from keelgap.logs import logger
+from keelgap_agent import effects, events
+from keelgap_agent.exchanges import Exchange
+from keelgap_agent.outcomes import Outcome, OutcomeKind, StoredAnswer
+from keelgap_agent.peer_requests import PeerRequest
+
+if TYPE_CHECKING:
+    from keelgap_agent.driver import AgentDriver
+
+__all__ = ('RequestEffects',)
+
+#: Seconds past its deadline after which a keyed run is given up; its outcome
+#: is worth more than the slot for so long.
+_KEYED_GRACE: Final = 10.0
+
+
+class RequestEffects:
+    """Carry out what the reducer decided about requests."""
+
+    def __init__(self, driver: 'AgentDriver') -> None:
+        """Act through the ports of a driver."""
+        self.driver = driver
+        self.exchanges: dict[int, Exchange] = {}
+        #: Requests of peers in progress, so that a repeated ask starts none.
+        self.peer_asks: dict[tuple[Address, int], PeerRequest] = {}
+        self.runs: dict[int, asyncio.Task[Outcome]] = {}
+
+    def start_request(self, effect: effects.StartRequest) -> None:
+        """Run a request against the upstream."""
+        request_id = effect.request_id
+        run = asyncio.create_task(
+            self.driver.ports.upstream.run(
+                self.exchanges[request_id],
+                effect.deadline_seconds,
+                self._choose_limit(effect),
+            ),
+        )
+        self.runs[request_id] = run
+        run.add_done_callback(partial(self._finish_run, request_id))
+
+    def cancel_run(self, effect: effects.CancelRun) -> None:
+        """Break a run off; the upstream sees its connection close."""
+        run = self.runs.get(effect.request_id)
+        if run is not None:
+            run.cancel()
+
+    def answer_request(self, effect: effects.AnswerRequest) -> None:
+        """Answer with what is stored."""
+        exchange = self.exchanges.pop(effect.request_id, None)
+        if exchange is not None:
+            exchange.answer_whole(effect.answer)
+
+    def refuse_request(self, effect: effects.RefuseRequest) -> None:
+        """Answer with a problem."""
+        problem = effect.problem
+        metrics = self.driver.ports.metrics
+        metrics.refusals.labels(
+            problem.kind.slug,
+            problem.reason,
+        ).inc()
+        exchange = self.exchanges.pop(effect.request_id, None)
+        if exchange is not None:
+            exchange.refuse(problem)
+
+    def issue_ticket(self, effect: effects.IssueTicket) -> None:
+        """Answer with a ticket."""
+        exchange = self.exchanges.pop(effect.request_id, None)
+        if exchange is not None:
+            answer = StoredAnswer(
+                HTTPStatus.OK,
+                ((b'content-type', b'text/plain'),),
+                effect.ticket.encode(),
+            )
+            exchange.answer_whole(answer)
+
+    def ask_peer(self, effect: effects.AskPeer) -> None:
+        """Send a request to another agent."""
+        exchange = self.exchanges.get(effect.request_id)
+        service = self.driver.state.service
+        if exchange is None or service is None:
+            return
+        head = exchange.head
+        body = exchange.body.read_all() if head.portable else None
+        self.driver.ports.control.send(
+            effect.peer,
+            Ask(
+                effect.request_id,
+                effect.run_only,
+                service.number,
+                head.method,
+                head.path,
+                exchange.lines.headers,
+                head.caller,
+                head.key,
+                effect.deadline_seconds,
+                body,
+            ),
+        )
+
+    def answer_peer(self, request: PeerRequest, answer: Answer) -> None:
+        """Send the final answer of a request of a peer."""
+        self.peer_asks.pop((request.asker, request.ask.ask_id), None)
+        self.driver.ports.control.send(request.asker, answer)
+
+    def _finish_run(
+        self,
+        request_id: int,
+        run: asyncio.Task[Outcome],
+    ) -> None:
+        self.runs.pop(request_id, None)
+        finished = events.RequestFinished(
+            self.driver.loop.time(),
+            request_id,
+            _read_outcome(run),
+        )
+        self.driver.dispatch(finished)
+        if request_id not in self.driver.state.requests:
+            self.exchanges.pop(request_id, None)
+
+    def _choose_limit(self, effect: effects.StartRequest) -> float | None:
+        request = self.driver.state.requests[effect.request_id]
+        if not request.traffic_class.takes_slot:
+            return None
+        grace = _KEYED_GRACE if request.traffic_class.at_most_once else 0
+        return effect.deadline_seconds + grace
+
+
+def _read_outcome(run: asyncio.Task[Outcome]) -> Outcome:
+    if run.cancelled():
+        # Cancelled before its first step: nothing was sent.
+        return Outcome(OutcomeKind.CANCELLED)
+    error = run.exception()
+    if error is not None:
+        logger.bind(error=repr(error)).error('request_run_failed')
+        return Outcome(OutcomeKind.BROKEN)
+    return run.result()
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/streams.py
@@ -0,0 +1,204 @@
+"""One request of a caller on its HTTP/3 stream."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from aioquic.h3.connection import ErrorCode, H3Connection
+
+from keelgap.control.messages import HeaderPairs
+from keelgap_agent.bodies import BodyBuffer
+from keelgap_agent.defaults import PORTABLE_OCTETS
+from keelgap_agent.events import RequestHead
+from keelgap_agent.exchanges import RequestLines
+from keelgap_agent.outcomes import StoredAnswer
+from keelgap_agent.problems import Problem, encode_problem
+from keelgap_agent.quic import AgentQuicConnection
+from keelgap_agent.tickets import digest_caller
+
+__all__ = ('CallerStream', 'StreamPort')
+
+#: Unsent octets of an answer above which the upstream has to wait.
+_MAX_UNSENT: Final = 262144
+_DEADLINE: Final = b'keelgap-deadline'
+
+
+class StreamPort(NamedTuple):
+    """What a stream needs of the connection that it belongs to."""
+
+    flow_id: int
+    quic: AgentQuicConnection
+    http: H3Connection
+    #: Called after anything that may have left datagrams to send.
+    transmit: Callable[[], None]
+    #: Called once the stream has its final answer.
+    forget: Callable[[int], None]
+
+
+class CallerStream:
+    """One request of a caller; an Exchange."""
+
+    def __init__(
+        self,
+        port: StreamPort,
+        stream_id: int,
+        request_id: int,
+        headers: HeaderPairs,
+    ) -> None:
+        """Read the head of a request."""
+        self.port = port
+        self.stream_id = stream_id
+        self.request_id = request_id
+        self.body = BodyBuffer(self._take)
+        self.announced = False
+        self.head_sent = False
+        self.closed = False
+        self.room = asyncio.Event()
+        fields = dict(headers)
+        self.lines = RequestLines(
+            fields.get(b':method', b'').decode('latin-1'),
+            fields.get(b':path', b'').decode('latin-1'),
+            _make_upstream_headers(headers),
+        )
+        self.expected = _read_number(fields.get(b'content-length'))
+        key = fields.get(b'idempotency-key')
+        self.head = RequestHead(
+            self.lines.method,
+            self.lines.path,
+            key.decode('latin-1') if key else None,
+            digest_caller(fields.get(b'authorization', b'')),
+            _read_number(fields.get(_DEADLINE)),
+            portable=False,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether admission may look at the request.
+
+        A short body is awaited first, so that it can go to another agent.
+        """
+        if self.body.ended or self.expected is None:
+            return True
+        return self.expected > PORTABLE_OCTETS
+
+    def announce(
+        self,
+        on_request: Callable[['CallerStream'], None],
+    ) -> None:
+        """Hand the request to admission, once."""
+        if self.announced or not self.is_ready:
+            return
+        self.announced = True
+        whole = self.body.ended and self.body.size <= PORTABLE_OCTETS
+        self.head = self.head._replace(portable=whole)
+        on_request(self)
+
+    def send_head(self, status: int, headers: HeaderPairs) -> None:
+        """Start the answer."""
+        self._send_headers(status, headers, ended=False)
+
+    async def send_part(self, part: bytes) -> None:
+        """Send a part of the answer; wait while too much is unsent."""
+        if self.closed:
+            return
+        self.port.http.send_data(self.stream_id, part, end_stream=False)
+        self.port.transmit()
+        while not self.closed and self._count_unsent() > _MAX_UNSENT:
+            self.room.clear()
+            await self.room.wait()
+
+    def send_end(self) -> None:
+        """End the answer."""
+        if not self.closed:
+            self.port.http.send_data(self.stream_id, b'', end_stream=True)
+            self._close()
+
+    def refuse(self, problem: Problem) -> None:
+        """Answer with a problem, or break off an answer that was begun."""
+        if self.closed:
+            return
+        if self.head_sent:
+            self._reset(ErrorCode.H3_INTERNAL_ERROR)
+            return
+        headers, body = encode_problem(problem)
+        self._answer(problem.kind.status, headers, body)
+
+    def reject(self) -> None:
+        """Refuse a request after GOAWAY: it was not processed."""
+        self._reset(ErrorCode.H3_REQUEST_REJECTED)
+
+    def answer_whole(self, answer: StoredAnswer) -> None:
+        """Answer with what is stored."""
+        if not self.closed:
+            headers = list(answer.headers)
+            self._answer(answer.status, headers, answer.body or b'')
+
+    def abandon(self) -> None:
+        """Stop the exchange: the caller broke it off or is gone."""
+        self.closed = True
+        self.body.cancel()
+        self.room.set()
+
+    def _answer(self, status: int, headers: HeaderPairs, body: bytes) -> None:
+        self._send_headers(status, headers, ended=not body)
+        if body:
+            self.port.http.send_data(self.stream_id, body, True)
+        self._close()
+
+    def _send_headers(
+        self,
+        status: int,
+        headers: HeaderPairs,
+        *,
+        ended: bool,
+    ) -> None:
+        if self.closed:
+            return
+        self.head_sent = True
+        pairs = [(b':status', str(int(status)).encode()), *headers]
+        self.port.http.send_headers(self.stream_id, pairs, ended)
+        self.port.transmit()
+
+    def _close(self) -> None:
+        self.closed = True
+        if not self.body.ended:
+            # RFC 9114, 4.1: the rest of the request is not wanted.
+            self.port.quic.stop_stream(self.stream_id, ErrorCode.H3_NO_ERROR)
+        self.port.forget(self.stream_id)
+        self.port.transmit()
+
+    def _reset(self, error: ErrorCode) -> None:
+        quic = self.port.quic
+        quic.reset_stream(self.stream_id, error)
+        if not self.body.ended:
+            quic.stop_stream(self.stream_id, error)
+        self.closed = True
+        self.port.forget(self.stream_id)
+        self.port.transmit()
+
+    def _take(self, count: int) -> None:
+        if not self.closed:
+            self.port.quic.take_credit(self.stream_id, count)
+            self.port.transmit()
+
+    def _count_unsent(self) -> int:
+        return self.port.quic.count_unsent(self.stream_id)
+
+
+def _read_number(text: bytes | None) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def _make_upstream_headers(headers: HeaderPairs) -> HeaderPairs:
+    authority = [
+        (b'host', text) for name, text in headers if name == b':authority'
+    ]
+    regular = [
+        (name, text)
+        for name, text in headers
+        if not name.startswith(b':') and name not in {b'host', _DEADLINE}
+    ]
+    return [*authority, *regular]
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The keelgap balancer: routes callers' datagrams to agents."""
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/forwarding.py
@@ -0,0 +1,200 @@
+"""Where a datagram goes: the decisions of the data path."""
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+from keelgap.addresses import UNSPECIFIED, Address, pack_address
+from keelgap.routing.connection_ids import FlowOwner
+from keelgap.routing.rendezvous import Weighted, rank
+from keelgap.wire.encapsulation import MAX_CANDIDATES, Envelope, MessageKind
+from keelgap.wire.exceptions import (
+    ForeignService,
+    ForgedConnectionId,
+    NoUpstream,
+    UnknownOwner,
+    WireError,
+)
+from keelgap.wire.packets import parse_header
+from keelgap_balancer.effects import (
+    BalancerEffect,
+    Count,
+    Drop,
+    SendEnvelope,
+    SendToCaller,
+)
+from keelgap_balancer.events import CallerDatagram, EnvelopeReceived
+from keelgap_balancer.state import BalancerState
+
+__all__ = ('handle_caller_datagram', 'handle_envelope', 'make_message')
+
+Effects = tuple[BalancerEffect, ...]
+
+
+def make_message(state: BalancerState, kind: MessageKind) -> Envelope:
+    """Return an envelope that concerns no flow."""
+    return Envelope(kind, 0, state.table.revision)
+
+
+def handle_caller_datagram(
+    state: BalancerState,
+    event: CallerDatagram,
+) -> Effects:
+    """Route a caller's datagram to the agent that owns or may take it."""
+    state.last_caller_datagram = event.now
+    try:
+        return _route(state, event)
+    except WireError as error:
+        return (Drop(error.code),)
+
+
+def _route(state: BalancerState, event: CallerDatagram) -> Effects:
+    header = parse_header(event.payload)
+    try:
+        owner = state.codec.read(header.destination_id)
+    except ForgedConnectionId:
+        if not header.may_open_flow:
+            raise
+        return _open_flow(state, event, header.destination_id)
+    return _forward_to_owner(state, event, owner)
+
+
+def _forward_to_owner(
+    state: BalancerState,
+    event: CallerDatagram,
+    owner: FlowOwner,
+) -> Effects:
+    if owner.service != event.service:
+        raise ForeignService
+    if owner.agent not in state.published:
+        raise UnknownOwner
+    envelope = _encapsulate(state, event, ())
+    if state.health.is_suspect(owner.agent):
+        return _detour(state, owner.agent, envelope)
+    forward = SendEnvelope(owner.agent, envelope)
+    if state.health.take_probe(owner.agent, event.now):
+        probe = make_message(state, MessageKind.PROBE)
+        return forward, SendEnvelope(owner.agent, probe)
+    return (forward,)
+
+
+def _open_flow(
+    state: BalancerState,
+    event: CallerDatagram,
+    connection_id: bytes,
+) -> Effects:
+    candidates = choose_candidates(state, event.service, connection_id)
+    if not candidates:
+        raise NoUpstream
+    first = candidates[0]
+    envelope = _encapsulate(state, event, candidates)
+    if state.health.is_suspect(first):
+        return _detour(state, first, envelope)
+    state.health.expect_answer(first, event.now)
+    return (SendEnvelope(first, envelope),)
+
+
+def choose_candidates(
+    state: BalancerState,
+    service: int,
+    connection_id: bytes,
+) -> tuple[Address, ...]:
+    """Return the ranked agents for a new flow, suspects last.
+
+    The key is the connection id that the caller made up, so that all
+    datagrams of one handshake get the same ranking at every balancer.
+    """
+    takers = state.takers.get(service, ())
+    # Suspects are at most half, so that twice as many hold enough others.
+    ranked = rank(connection_id, takers, MAX_CANDIDATES * 2)
+    agents = [upstream.agent for upstream in ranked]
+    agents.sort(key=state.health.is_suspect)
+    return tuple(agents[:MAX_CANDIDATES])
+
+
+def _encapsulate(
+    state: BalancerState,
+    event: CallerDatagram,
+    candidates: tuple[Address, ...],
+) -> Envelope:
+    return Envelope(
+        MessageKind.FORWARD,
+        event.service,
+        state.table.revision,
+        event.caller,
+        candidates=candidates,
+        payload=event.payload,
+    )
+
+
+def _detour(
+    state: BalancerState,
+    agent: Address,
+    envelope: Envelope,
+) -> Effects:
+    """Send through one peer, which must deliver or drop: never a loop."""
+    if not state.peers:
+        return (SendEnvelope(agent, envelope),)
+    members = (
+        (Weighted(xxh3_64_intdigest(pack_address(peer)), 1), peer)
+        for peer in state.peers
+    )
+    peer = rank(pack_address(agent), members, 1)[0]
+    detour = envelope._replace(
+        kind=MessageKind.DETOUR,
+        via=agent,
+    )
+    return SendEnvelope(peer, detour), Count('detours')
+
+
+def handle_envelope(state: BalancerState, event: EnvelopeReceived) -> Effects:
+    """Act on a message from an agent or from another balancer."""
+    state.health.note_heard(event.sender, event.now)
+    handler = _HANDLERS.get(event.envelope.kind)
+    if handler is None:
+        return (Drop('unknown_kind'),)
+    return handler(state, event)
+
+
+def _return_to_caller(
+    state: BalancerState,
+    event: EnvelopeReceived,
+) -> Effects:
+    envelope = event.envelope
+    if envelope.service not in state.table.services:
+        return (Drop(ForeignService.code),)
+    return (SendToCaller(envelope.service, envelope.caller, envelope.payload),)
+
+
+def _deliver_detour(state: BalancerState, event: EnvelopeReceived) -> Effects:
+    agent = event.envelope.via
+    if agent not in state.published:
+        return (Drop(UnknownOwner.code),)
+    forward = event.envelope._replace(
+        kind=MessageKind.FORWARD,
+        via=UNSPECIFIED,
+        revision=state.table.revision,
+    )
+    return SendEnvelope(agent, forward), Count('detours_delivered')
+
+
+def _answer_probe(state: BalancerState, event: EnvelopeReceived) -> Effects:
+    reply = make_message(state, MessageKind.PROBE_REPLY)
+    return (SendEnvelope(event.sender, reply),)
+
+
+def _ignore(state: BalancerState, event: EnvelopeReceived) -> Effects:
+    return ()
+
+
+_HANDLERS: Final = MappingProxyType[
+    MessageKind,
+    Callable[[BalancerState, EnvelopeReceived], Effects],
+]({
+    MessageKind.RETURN: _return_to_caller,
+    MessageKind.DETOUR: _deliver_detour,
+    MessageKind.PROBE: _answer_probe,
+    MessageKind.PROBE_REPLY: _ignore,
+})
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
@@ -0,0 +1,76 @@
+"""The balancer's reducer: ``(state, event) -> (state, effects)``.
+
+The state object is owned by the reducer and changed in place, because one
+copy a datagram would cost more than all decisions together.
+"""
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any, Final
+
+from keelgap_balancer.effects import BalancerEffect, Count, SendEnvelope
+from keelgap_balancer.events import (
+    BalancerEvent,
+    CallerDatagram,
+    EnvelopeReceived,
+    InstancesChanged,
+    StopRequested,
+    TableChanged,
+    TimerFired,
+)
+from keelgap_balancer.forwarding import (
+    handle_caller_datagram,
+    handle_envelope,
+    make_message,
+)
+from keelgap_balancer.membership import change_instances, change_table
+from keelgap_balancer.state import BalancerState
+from keelgap.wire.encapsulation import MessageKind
+
+__all__ = ('Effects', 'reduce')
+
+Effects = tuple[BalancerEffect, ...]
+
+
+def reduce(
+    state: BalancerState,
+    event: BalancerEvent,
+) -> tuple[BalancerState, Effects]:
+    """Return the state after an event and what the driver must do."""
+    return state, _HANDLERS[type(event)](state, event)
+
+
+def _handle_timer(state: BalancerState, event: TimerFired) -> Effects:
+    health = state.health
+    health.check_pause(event.now)
+    newly = sum(
+        health.update_suspects(
+            [upstream.agent for upstream in members],
+            event.now,
+        )
+        for members in state.table.upstreams.values()
+    )
+    probes = tuple(
+        SendEnvelope(agent, make_message(state, MessageKind.PROBE))
+        for agent in health.list_probes(event.now)
+    )
+    return (*probes, *(Count('suspected') for _ in range(newly)))
+
+
+def _handle_stop(state: BalancerState, event: StopRequested) -> Effects:
+    state.stopping = True
+    message = make_message(state, MessageKind.LEAVING)
+    return tuple(SendEnvelope(agent, message) for agent in state.published)
+
+
+_HANDLERS: Final = MappingProxyType[
+    type,
+    Callable[[BalancerState, Any], Effects],
+]({
+    CallerDatagram: handle_caller_datagram,
+    EnvelopeReceived: handle_envelope,
+    TableChanged: change_table,
+    InstancesChanged: change_instances,
+    TimerFired: _handle_timer,
+    StopRequested: _handle_stop,
+})
--- /dev/null
+++ b/packages/keelgap-standins/src/keelgap_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the callers and the upstreams."""
--- /dev/null
+++ b/packages/keelgap-standins/src/keelgap_standins/caller.py
@@ -0,0 +1,214 @@
+"""Stand-in of a caller: an HTTP/3 client with retries for keyed requests."""
+
+import asyncio
+import ssl
+from collections import deque
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from types import MappingProxyType
+from typing import Any, Final, NamedTuple
+
+from aioquic.asyncio.client import connect
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import (
+    ConnectionTerminated,
+    ProtocolNegotiated,
+    QuicEvent,
+    StreamReset,
+)
+
+from keelgap.addresses import Address
+
+__all__ = ('Caller', 'CallerAnswer', 'FlowBroken', 'open_caller')
+
+TICKET_PATH: Final = '/.well-known/keelgap/ticket'
+NO_HEADERS: Final = MappingProxyType[str, str]({})
+_WINDOW: Final = 131072
+
+
+class FlowBroken(Exception):
+    """The flow ended before the answer was whole."""
+
+
+class CallerAnswer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+    @property
+    def service(self) -> str:
+        """Return the service that answered."""
+        return self.headers.get(b'x-service', b'').decode()
+
+
+class _Pending:
+    """An answer that is being received."""
+
+    def __init__(self) -> None:
+        self.headers: dict[bytes, bytes] = {}
+        self.parts: deque[bytes] = deque()
+        self.done: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Caller(QuicConnectionProtocol):
+    """One connection of a caller."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Start before the handshake."""
+        super().__init__(*args, **kwargs)
+        self.http: H3Connection | None = None
+        self.pending: dict[int, _Pending] = {}
+        self.authority = 'localhost'
+        #: Why the connection ended, if it did.
+        self.end: ConnectionTerminated | None = None
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> CallerAnswer:
+        """Send a request with a whole body and return the whole answer."""
+        stream_id = self.send_head(method, path, not body, headers)
+        if body:
+            self.send_body(stream_id, body, ended=True)
+        return await self.receive(stream_id)
+
+    async def upload(
+        self,
+        path: str,
+        size: int,
+        pause: float = 0,
+    ) -> CallerAnswer:
+        """Send a long body piece by piece and return the answer."""
+        stream_id = self.send_head('POST', path, False)
+        piece = bytes(_WINDOW // 2)
+        sent = 0
+        while sent < size:
+            count = min(len(piece), size - sent)
+            self.send_body(stream_id, piece[:count], ended=False)
+            sent += count
+            await self.make_room(stream_id)
+            await asyncio.sleep(pause)
+        self.send_body(stream_id, b'', ended=True)
+        return await self.receive(stream_id)
+
+    def send_head(
+        self,
+        method: str,
+        path: str,
+        ended: bool,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> int:
+        """Open a request and return its stream."""
+        if self.end is not None or self.http is None:
+            raise FlowBroken(self.end)
+        stream_id = self._quic.get_next_available_stream_id()
+        self.pending[stream_id] = _Pending()
+        pairs = [
+            (b':method', method.encode()),
+            (b':scheme', b'https'),
+            (b':authority', self.authority.encode()),
+            (b':path', path.encode()),
+            *((name.encode(), text.encode()) for name, text in headers.items()),
+        ]
+        self.http.send_headers(stream_id, pairs, ended)
+        self.transmit()
+        return stream_id
+
+    def send_body(self, stream_id: int, part: bytes, *, ended: bool) -> None:
+        """Send a part of a body."""
+        if self.end is not None or self.http is None:
+            raise FlowBroken(self.end)
+        self.http.send_data(stream_id, part, ended)
+        self.transmit()
+
+    async def make_room(self, stream_id: int) -> None:
+        """Wait until little of a body is unsent."""
+        while self.end is None:
+            stream = self._quic._streams.get(stream_id)  # noqa: WPS437
+            if stream is None:
+                return
+            sender = stream.sender
+            unsent = sender._buffer_stop - sender._buffer_start  # noqa: WPS437
+            if unsent < _WINDOW:
+                return
+            await asyncio.sleep(0.002)
+
+    async def receive(self, stream_id: int) -> CallerAnswer:
+        """Return the whole answer, or raise FlowBroken."""
+        pending = self.pending[stream_id]
+        try:
+            await pending.done
+        finally:
+            self.pending.pop(stream_id, None)
+        status = int(pending.headers.get(b':status', b'0'))
+        return CallerAnswer(status, pending.headers, b''.join(pending.parts))
+
+    async def get_ticket(self, headers: Mapping[str, str] = NO_HEADERS) -> str:
+        """Return a ticket for requests that must run at most once."""
+        answer = await self.request('GET', TICKET_PATH, headers=headers)
+        return answer.body.decode()
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """Take what the connection received."""
+        if isinstance(event, ProtocolNegotiated):
+            self.http = H3Connection(self._quic)
+        elif isinstance(event, ConnectionTerminated):
+            self.end = event
+            for pending in self.pending.values():
+                self._fail(pending, FlowBroken(event))
+        elif isinstance(event, StreamReset):
+            known = self.pending.get(event.stream_id)
+            if known is not None:
+                self._fail(known, FlowBroken(event))
+        elif self.http is not None:
+            for http_event in self.http.handle_event(event):
+                self._take(http_event)
+
+    def _fail(self, pending: _Pending, error: FlowBroken) -> None:
+        if not pending.done.done():
+            pending.done.set_exception(error)
+
+    def _take(self, event: H3Event) -> None:
+        if not isinstance(event, HeadersReceived | DataReceived):
+            return
+        pending = self.pending.get(event.stream_id)
+        if pending is None:
+            return
+        if isinstance(event, HeadersReceived):
+            pending.headers.update(dict(event.headers))
+        else:
+            pending.parts.append(event.data)
+        if event.stream_ended and not pending.done.done():
+            pending.done.set_result(None)
+
+
+@asynccontextmanager
+async def open_caller(
+    address: Address,
+    idle_seconds: float = 10.0,
+) -> AsyncIterator[Caller]:
+    """Open a connection to a service's public address."""
+    configuration = QuicConfiguration(
+        is_client=True,
+        alpn_protocols=['h3'],
+        verify_mode=ssl.CERT_NONE,
+        idle_timeout=idle_seconds,
+    )
+    async with connect(
+        address.host,
+        address.port,
+        configuration=configuration,
+        create_protocol=Caller,
+    ) as caller:
+        assert isinstance(caller, Caller)
+        yield caller
--- /dev/null
+++ b/packages/keelgap-standins/src/keelgap_standins/secrets.py
@@ -0,0 +1,62 @@
+"""Key files and certificates for loopback."""
+
+import secrets
+from datetime import UTC, datetime, timedelta
+from ipaddress import IPv4Address
+from pathlib import Path
+
+import zmq
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+__all__ = ('write_certificate', 'write_keys')
+
+_LIFE = timedelta(days=30)
+_CONNECTION_ID_KEY = 16
+_MAC_KEY = 32
+
+
+def write_keys(directory: Path) -> None:
+    """Write fresh keys for a fleet, each in a file of its own."""
+    public, secret = zmq.curve_keypair()
+    texts = {
+        'connection-ids-first.key': secrets.token_hex(_CONNECTION_ID_KEY),
+        'mac-first.key': secrets.token_hex(_MAC_KEY),
+        'curve-public.key': public.decode(),
+        'curve-secret.key': secret.decode(),
+    }
+    for name, text in texts.items():
+        path = directory / name
+        path.touch(mode=0o600)
+        path.write_text(f'{text}\n', 'utf-8')
+
+
+def write_certificate(directory: Path, host: str) -> None:
+    """Write a self-signed certificate and its key as PEM files."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, 'keelgap demo')])
+    now = datetime.now(UTC)
+    names = x509.SubjectAlternativeName([x509.IPAddress(IPv4Address(host))])
+    certificate = (
+        x509
+        .CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - _LIFE)
+        .not_valid_after(now + _LIFE)
+        .add_extension(names, critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    pem = certificate.public_bytes(serialization.Encoding.PEM)
+    (directory / 'certificate.pem').write_bytes(pem)
+    (directory / 'certificate.key').write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        ),
+    )
--- /dev/null
+++ b/packages/keelgap/src/keelgap/admin.py
@@ -0,0 +1,152 @@
+"""The admin HTTP address: metrics, health, and the read-back."""
+
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from typing import Any, Final, TypedDict
+
+import msgspec
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from keelgap.addresses import Address
+from keelgap.dissemination.state import DisseminationState, Held
+from keelgap.exceptions import PortInUse
+from keelgap.metrics import SharedMetrics
+
+__all__ = (
+    'AdminPage',
+    'DocumentReport',
+    'TableReport',
+    'make_table_report',
+    'start_admin',
+)
+
+#: Returns a value that msgspec can encode.
+AdminPage = Callable[[], Any]
+
+_LEAVING: Final = 503
+
+
+class RefusedReport(TypedDict):
+    """The last version that was refused."""
+
+    revision: int
+    digest: str
+    seconds_ago: float
+    faults: list[dict[str, str]]
+
+
+class DocumentReport(TypedDict):
+    """What is in force under one key in this process."""
+
+    revision: int
+    digest: str
+    in_force_seconds: float | None
+    #: Highest revision heard of from anyone.
+    highest_heard: int
+    refused: RefusedReport | None
+
+
+class TableReport(TypedDict):
+    """The read-back of one process."""
+
+    name: str
+    reading: bool
+    #: False while a joiner holds documents back.
+    joined: bool
+    table: DocumentReport
+    instances: DocumentReport
+    content: dict[str, Any]
+
+
+def make_table_report(
+    name: str,
+    state: DisseminationState,
+    now: float,
+) -> TableReport:
+    """Return the read-back: what this process really works with."""
+    return TableReport(
+        name=name,
+        reading=state.reading,
+        joined=state.joined,
+        table=_describe(state.held['table'], now),
+        instances=_describe(state.held['instances'], now),
+        content=state.held['table'].document.decoded,
+    )
+
+
+def _describe(held: Held, now: float) -> DocumentReport:
+    version = held.document.version
+    return DocumentReport(
+        revision=version.revision,
+        digest=version.digest,
+        in_force_seconds=now - held.since if held.parsed else None,
+        highest_heard=held.highest_heard.revision,
+        refused=_describe_refused(held, now),
+    )
+
+
+def _describe_refused(held: Held, now: float) -> RefusedReport | None:
+    refused = held.refused
+    if refused is None:
+        return None
+    return RefusedReport(
+        revision=refused.version.revision,
+        digest=refused.version.digest,
+        seconds_ago=now - refused.now,
+        faults=[fault._asdict() for fault in refused.faults],
+    )
+
+
+def _make_json_handler(page: AdminPage) -> Callable[[web.Request], Any]:
+    async def respond(request: web.Request) -> web.Response:
+        body = msgspec.json.encode(page())
+        return web.Response(body=body, content_type='application/json')
+
+    return respond
+
+
+def _make_metrics_handler(
+    metrics: SharedMetrics,
+    refresh: Callable[[], None],
+) -> Callable[[web.Request], Any]:
+    async def respond(request: web.Request) -> web.Response:
+        refresh()
+        body = generate_latest(metrics.registry)
+        headers = {'Content-Type': CONTENT_TYPE_LATEST}
+        return web.Response(body=body, headers=headers)
+
+    return respond
+
+
+def _make_health_handler(
+    is_leaving: Callable[[], bool],
+) -> Callable[[web.Request], Any]:
+    async def respond(request: web.Request) -> web.Response:
+        if is_leaving():
+            return web.Response(status=_LEAVING, text='leaving\n')
+        return web.Response(text='ok\n')
+
+    return respond
+
+
+async def start_admin(
+    address: Address,
+    pages: dict[str, AdminPage],
+    metrics: tuple[SharedMetrics, Callable[[], None]],
+    is_leaving: Callable[[], bool],
+    stack: AsyncExitStack,
+) -> None:
+    """Serve pages, metrics and health until the stack closes."""
+    app = web.Application()
+    for path, page in pages.items():
+        app.router.add_get(path, _make_json_handler(page))
+    app.router.add_get('/metrics', _make_metrics_handler(*metrics))
+    app.router.add_get('/health', _make_health_handler(is_leaving))
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    try:
+        await web.TCPSite(runner, address.host, address.port).start()
+    except OSError as error:
+        raise PortInUse('listen.admin_port', *address) from error
--- /dev/null
+++ b/packages/keelgap/src/keelgap/conf.py
@@ -0,0 +1,141 @@
+"""Settings: INI files, checked whole before anything is bound.
+
+``docs/ref/settings.md`` documents each name; a test keeps it complete.
+"""
+
+import configparser
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final, NamedTuple, TypeVar, get_type_hints
+
+import msgspec
+
+from keelgap.checks import check_columns, describe_nearest
+from keelgap.exceptions import Fault, ImproperlyConfigured
+
+__all__ = (
+    'ConfigServiceSettings',
+    'InstanceSettings',
+    'KeySettings',
+    'ListenSettings',
+    'load_settings',
+)
+
+_UNREADABLE: Final = 'keelgap.E020'
+_UNKNOWN_SECTION: Final = 'keelgap.E021'
+
+_SettingsT = TypeVar('_SettingsT', bound=tuple[NamedTuple, ...])
+
+
+class InstanceSettings(NamedTuple):
+    """Section ``instance``: who this process is."""
+
+    name: str
+    #: IPv4 address that other processes and the fabric reach.
+    address: str
+    availability_zone: str
+
+
+class ListenSettings(NamedTuple):
+    """Section ``listen``: the ports of this process."""
+
+    #: UDP, encapsulated datagrams.
+    data_port: int
+    #: TCP, pyzmq between processes.
+    control_port: int
+    #: TCP, HTTP for operators.
+    admin_port: int
+    #: Control addresses of peers, ``IPv4:port`` with commas between, which a
+    #: joiner asks when the configuration service is away.
+    seeds: str = ''
+
+
+class ConfigServiceSettings(NamedTuple):
+    """Section ``config_service``: where tables are read."""
+
+    #: HTTP base address of the service.
+    url: str
+    table_key: str = 'table'
+    instances_key: str = 'instances'
+    #: Longest blocking query, in seconds.
+    wait_seconds: float = 30.0
+
+
+class KeySettings(NamedTuple):
+    """Section ``keys``: files with the fleet's keys, in hexadecimal.
+
+    Two keys are live for connection ids and two for the message code; the
+    other one may be empty.  A change in the order given in
+    docs/howto/rotate-keys.md breaks no flow.
+    """
+
+    connection_ids_first: str
+    mac_first: str
+    curve_public: str
+    curve_secret: str
+    connection_ids_second: str = ''
+    #: Key id, 1 or 2, under which new connection ids are issued.
+    connection_ids_issue: int = 1
+    mac_second: str = ''
+    #: Key id, 1 or 2, under which messages are signed.
+    mac_sign: int = 1
+
+
+def load_settings(path: str, settings_type: type[_SettingsT]) -> _SettingsT:
+    """Return the settings of a file, one NamedTuple a section.
+
+    Raises ImproperlyConfigured with every fault found.
+    """
+    parser = _read_file(path)
+    sections = settings_type.__annotations__
+    faults = [
+        Fault(
+            _UNKNOWN_SECTION,
+            f'[{name}]',
+            'this section is not known',
+            describe_nearest(name, sections),
+        )
+        for name in parser.sections()
+        if name not in sections
+    ]
+    for section, row_type in sections.items():
+        row = dict(parser[section]) if parser.has_section(section) else {}
+        faults.extend(check_columns(row, row_type, section, strict=False))
+    if faults:
+        raise ImproperlyConfigured(tuple(faults))
+    return settings_type(
+        *(
+            _make_section(parser, name, section_type)
+            for name, section_type in sections.items()
+        )
+    )
+
+
+def _read_file(path: str) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text('utf-8'), path)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise ImproperlyConfigured((
+            Fault(
+                _UNREADABLE,
+                path,
+                str(error).replace('\n', ' '),
+                'start from `keelgap example settings`',
+            ),
+        )) from error
+    return parser
+
+
+def _make_section(
+    parser: configparser.ConfigParser,
+    name: str,
+    section_type: Callable[..., NamedTuple],
+) -> NamedTuple:
+    row = parser[name] if parser.has_section(name) else {}
+    hints = get_type_hints(section_type)
+    columns = {
+        key: msgspec.convert(text, hints[key], strict=False)
+        for key, text in row.items()
+    }
+    return section_type(**columns)
--- /dev/null
+++ b/packages/keelgap/src/keelgap/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between processes, over pyzmq."""
--- /dev/null
+++ b/packages/keelgap/src/keelgap/dissemination/documents.py
@@ -0,0 +1,150 @@
+"""Documents in canonical form, their versions and their differences.
+
+Canonical: rows of the sections that have a unique name are sorted by it,
+names of columns are sorted, no white space.  The digest is taken over this
+form, so that a delta can be checked after it was applied.
+"""
+
+from collections.abc import Sequence
+from typing import Any, Final, NamedTuple, TypedDict
+
+import msgspec
+
+from keelgap.control.messages import DocumentVersion
+from keelgap.exceptions import KeelgapError
+from keelgap.table import compute_digest
+
+__all__ = (
+    'NO_DOCUMENT',
+    'Document',
+    'UnusableDocument',
+    'apply_changes',
+    'compute_changes',
+    'load_document',
+)
+
+#: Sections whose rows are told apart by their name.
+_NAMED_SECTIONS: Final = ('services', 'upstreams', 'instances')
+_NAME: Final = 'name'
+
+
+class UnusableDocument(KeelgapError):
+    """Octets that are no document, or a delta that does not fit."""
+
+    code = 'unusable_document'
+
+
+class Document(NamedTuple):
+    """One version of a document."""
+
+    version: DocumentVersion
+    #: Canonical JSON.
+    content: bytes
+    decoded: dict[str, Any]
+
+
+class _Changes(TypedDict):
+    #: Values of all names but those of named sections; None drops a name.
+    plain: dict[str, Any]
+    #: New and changed rows, by section.
+    rows: dict[str, list[dict[str, Any]]]
+    #: Names of rows that are gone, by section.
+    gone: dict[str, list[str]]
+
+
+#: What a process has before it heard of any version.
+NO_DOCUMENT: Final = Document(DocumentVersion(0, ''), b'', {})
+
+
+def load_document(content: bytes) -> Document:
+    """Return the canonical form of a JSON document."""
+    try:
+        decoded = msgspec.json.decode(content, type=dict[str, Any])
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise UnusableDocument(str(error)) from error
+    return _canonicalize(decoded)
+
+
+def _canonicalize(decoded: dict[str, Any]) -> Document:
+    for section in _NAMED_SECTIONS:
+        rows: Any = decoded.get(section)
+        if _is_named(rows):
+            decoded[section] = sorted(rows, key=_get_name)
+    content = msgspec.json.encode(decoded, order='sorted')
+    revision = decoded.get('revision')
+    if isinstance(revision, bool) or not isinstance(revision, int):
+        revision = 0
+    version = DocumentVersion(revision, compute_digest(content))
+    return Document(version, content, decoded)
+
+
+def _is_named(rows: object) -> bool:
+    return isinstance(rows, list) and all(
+        isinstance(row, dict) and isinstance(row.get(_NAME), str)
+        for row in rows
+    )
+
+
+def _get_name(row: dict[str, Any]) -> str:
+    name: str = row[_NAME]
+    return name
+
+
+def compute_changes(before: Document, after: Document) -> bytes:
+    """Return what turns one document into the other, as JSON."""
+    changes = _Changes(plain={}, rows={}, gone={})
+    names = before.decoded.keys() | after.decoded.keys()
+    for name in sorted(names):
+        old = before.decoded.get(name)
+        new = after.decoded.get(name)
+        named = name in _NAMED_SECTIONS and _is_named(old) and _is_named(new)
+        if named:
+            _compare_rows(changes, name, old or [], new or [])
+        elif old != new:
+            changes['plain'][name] = new
+    return msgspec.json.encode(changes)
+
+
+def _compare_rows(
+    changes: _Changes,
+    section: str,
+    old: list[dict[str, Any]],
+    new: list[dict[str, Any]],
+) -> None:
+    before = {_get_name(row): row for row in old}
+    after = {_get_name(row): row for row in new}
+    rows = [row for name, row in after.items() if before.get(name) != row]
+    gone = sorted(before.keys() - after.keys())
+    if rows:
+        changes['rows'][section] = rows
+    if gone:
+        changes['gone'][section] = gone
+
+
+def apply_changes(before: Document, changes: bytes) -> Document:
+    """Return the document after changes; raises UnusableDocument."""
+    try:
+        decoded_changes = msgspec.json.decode(changes, type=_Changes)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise UnusableDocument(str(error)) from error
+    decoded = {**before.decoded, **decoded_changes['plain']}
+    kept = {name: value for name, value in decoded.items() if value is not None}
+    for section in _NAMED_SECTIONS:
+        gone = decoded_changes['gone'].get(section, ())
+        changed = decoded_changes['rows'].get(section, ())
+        if gone or changed:
+            kept[section] = _change_rows(kept.get(section), gone, changed)
+    return _canonicalize(kept)
+
+
+def _change_rows(
+    before: list[dict[str, Any]] | None,
+    gone: Sequence[str],
+    changed: Sequence[dict[str, Any]],
+) -> list[dict[str, Any]]:
+    rows = {_get_name(row): row for row in before or ()}
+    for name in gone:
+        rows.pop(name, None)
+    for row in changed:
+        rows[str(row.get(_NAME))] = row
+    return list(rows.values())
--- /dev/null
+++ b/packages/keelgap/src/keelgap/dissemination/driver.py
@@ -0,0 +1,151 @@
+"""The driver of dissemination: control channel, reader and timer."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from types import MappingProxyType
+from typing import Any
+
+from keelgap.addresses import Address
+from keelgap.control.channel import ControlChannel
+from keelgap.control.messages import Delivery
+from keelgap.dissemination import defaults
+from keelgap.dissemination.documents import Document
+from keelgap.dissemination.effects import (
+    Count,
+    PutInForce,
+    Read,
+    SendMessage,
+)
+from keelgap.dissemination.events import (
+    DisseminationEvent,
+    DisseminationMessage,
+    DocumentRead,
+    MessageReceived,
+    RevisionSeen,
+    TimerFired,
+)
+from keelgap.dissemination.reducer import TABLE_KEY, reduce
+from keelgap.dissemination.source import DocumentReader
+from keelgap.dissemination.state import Checker, DisseminationState, Parsed
+from keelgap.instances import InstanceList, build_instances
+from keelgap.metrics import SharedMetrics
+from keelgap.table import Table, build_table
+
+__all__ = ('INSTANCES_KEY', 'CHECKERS', 'DisseminationDriver')
+
+INSTANCES_KEY = 'instances'
+
+
+def check_table(document: Document) -> Table:
+    """Return the table of a document, or raise TableRefused."""
+    return build_table(document.decoded, document.version.digest)
+
+
+def check_instances(document: Document) -> InstanceList:
+    """Return the list of a document, or raise TableRefused."""
+    return build_instances(document.decoded)
+
+
+#: What every process exchanges, and how it is checked.
+CHECKERS = MappingProxyType[str, Checker]({
+    TABLE_KEY: check_table,
+    INSTANCES_KEY: check_instances,
+})
+
+
+class DisseminationDriver:
+    """Run the dissemination reducer in one process."""
+
+    def __init__(
+        self,
+        state: DisseminationState,
+        channel: ControlChannel,
+        reader: DocumentReader,
+        metrics: SharedMetrics,
+        on_change: Callable[[Parsed], None],
+    ) -> None:
+        """Hand every table and list that comes into force to on_change."""
+        self.state = state
+        self.channel = channel
+        self.reader = reader
+        self.metrics = metrics
+        self.on_change = on_change
+        self.loop = asyncio.get_running_loop()
+        self.watches: list[asyncio.Task[None]] = []
+        self.effect_handlers = MappingProxyType[
+            type,
+            Callable[[Any], None],
+        ]({
+            PutInForce: self._put_in_force,
+            SendMessage: self._send_message,
+            Read: self._choose_reading,
+            Count: self._count,
+        })
+
+    def start(self, stack: AsyncExitStack) -> None:
+        """Start the timer; the stack stops all tasks."""
+        timer = asyncio.create_task(self._run_timer())
+        stack.callback(timer.cancel)
+        stack.callback(self._stop_watches)
+
+    def handle_delivery(self, delivery: Delivery) -> bool:
+        """Take a message if it is one of dissemination."""
+        message = delivery.message
+        if not isinstance(message, DisseminationMessage):
+            return False
+        now = self.loop.time()
+        self._dispatch(MessageReceived(now, delivery.sender, message))
+        return True
+
+    def note_revision(self, sender: Address, revision: int) -> None:
+        """Take the table revision that another process's traffic carries."""
+        held = self.state.held[TABLE_KEY]
+        if revision > held.document.version.revision:
+            now = self.loop.time()
+            self._dispatch(RevisionSeen(now, sender, revision))
+
+    def note_document(self, key: str, content: bytes) -> None:
+        """Take a document that the configuration service returned."""
+        self._dispatch(DocumentRead(self.loop.time(), key, content))
+
+    async def _run_timer(self) -> None:
+        while True:
+            self._dispatch(TimerFired(self.loop.time()))
+            await asyncio.sleep(defaults.TIMER_SECONDS)
+
+    def _dispatch(self, event: DisseminationEvent) -> None:
+        state, emitted = reduce(self.state, event)
+        self.state = state
+        for effect in emitted:
+            self.effect_handlers[type(effect)](effect)
+
+    def _put_in_force(self, effect: PutInForce) -> None:
+        if effect.key == TABLE_KEY:
+            revision = effect.document.version.revision
+            self.metrics.table_revision.set(revision)
+        self.on_change(effect.parsed)
+
+    def _send_message(self, effect: SendMessage) -> None:
+        self.channel.send(effect.receiver, effect.message)
+
+    def _choose_reading(self, effect: Read) -> None:
+        self._stop_watches()
+        if effect.wanted:
+            settings = self.reader.settings
+            keys = (
+                (TABLE_KEY, settings.table_key),
+                (INSTANCES_KEY, settings.instances_key),
+            )
+            self.watches = [
+                asyncio.create_task(self.reader.watch(name, service_key))
+                for name, service_key in keys
+            ]
+
+    def _stop_watches(self) -> None:
+        for watch in self.watches:
+            watch.cancel()
+        self.watches = []
+
+    def _count(self, effect: Count) -> None:
+        self.metrics.events.labels(effect.name).inc()
--- /dev/null
+++ b/packages/keelgap/src/keelgap/dissemination/events.py
@@ -0,0 +1,56 @@
+"""Events of the dissemination reducer; ``now`` is in seconds."""
+
+from typing import NamedTuple
+
+from keelgap.addresses import Address
+from keelgap.control.messages import (
+    Announce,
+    DocumentDelta,
+    Fetch,
+    FullDocument,
+)
+
+__all__ = (
+    'DisseminationEvent',
+    'DisseminationMessage',
+    'DocumentRead',
+    'MessageReceived',
+    'RevisionSeen',
+    'TimerFired',
+)
+
+DisseminationMessage = Announce | Fetch | FullDocument | DocumentDelta
+
+
+class DocumentRead(NamedTuple):
+    """The configuration service returned a document."""
+
+    now: float
+    key: str
+    content: bytes
+
+
+class MessageReceived(NamedTuple):
+    """A neighbour sent a message."""
+
+    now: float
+    sender: Address
+    message: DisseminationMessage
+
+
+class RevisionSeen(NamedTuple):
+    """Traffic of another process carried a table revision."""
+
+    now: float
+    #: Data address of that process.
+    sender: Address
+    revision: int
+
+
+class TimerFired(NamedTuple):
+    """The periodic timer of the driver fired."""
+
+    now: float
+
+
+DisseminationEvent = DocumentRead | MessageReceived | RevisionSeen | TimerFired
--- /dev/null
+++ b/packages/keelgap/src/keelgap/dissemination/reducer.py
@@ -0,0 +1,334 @@
+"""The dissemination reducer: ``(state, event) -> (state, effects)``.
+
+The version in force under a key only rises, whatever the service or a peer
+says: versions are ordered by revision and then by digest, so that processes
+that got different documents of one revision still agree in the end.
+"""
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any, Final
+
+from keelgap.addresses import Address
+from keelgap.control.messages import (
+    Announce,
+    DocumentDelta,
+    DocumentVersion,
+    Fetch,
+    FullDocument,
+)
+from keelgap.dissemination import defaults
+from keelgap.dissemination.documents import (
+    Document,
+    UnusableDocument,
+    apply_changes,
+    compute_changes,
+    load_document,
+)
+from keelgap.dissemination.effects import (
+    Count,
+    DisseminationEffect,
+    PutInForce,
+    Read,
+    SendMessage,
+)
+from keelgap.dissemination.events import (
+    DisseminationEvent,
+    DocumentRead,
+    MessageReceived,
+    RevisionSeen,
+    TimerFired,
+)
+from keelgap.dissemination.neighbours import choose_neighbours, is_reader
+from keelgap.dissemination.state import DisseminationState, Refused
+from keelgap.exceptions import TableRefused
+from keelgap.instances import InstanceList
+
+__all__ = ('TABLE_KEY', 'make_announce', 'reduce')
+
+Effects = tuple[DisseminationEffect, ...]
+
+#: Name under which processes exchange the table, whatever the service's key.
+TABLE_KEY: Final = 'table'
+
+
+def reduce(
+    state: DisseminationState,
+    event: DisseminationEvent,
+) -> tuple[DisseminationState, Effects]:
+    """Return the state after an event and what the driver must do."""
+    return state, _HANDLERS[type(event)](state, event)
+
+
+def make_announce(
+    state: DisseminationState,
+    *,
+    wants_reply: bool,
+) -> Announce:
+    """Return the versions that this process holds."""
+    versions = {key: held.document.version for key, held in state.held.items()}
+    return Announce(versions, wants_reply)
+
+
+def _take_read(state: DisseminationState, event: DocumentRead) -> Effects:
+    try:
+        document = load_document(event.content)
+    except UnusableDocument as error:
+        return (Count(error.code),)
+    return _take_document(state, event.key, document, event.now)
+
+
+def _take_document(
+    state: DisseminationState,
+    key: str,
+    document: Document,
+    now: float,
+) -> Effects:
+    """Accept a document whole or refuse it whole; never go back."""
+    held = state.held[key]
+    if document.version <= held.document.version:
+        return ()
+    try:
+        parsed = state.checkers[key](document)
+    except TableRefused as refusal:
+        held.refused = Refused(document.version, now, refusal.faults)
+        return (Count('refused_documents'),)
+    before = held.document
+    held.document = document
+    held.parsed = parsed
+    held.since = now
+    held.highest_heard = max(held.highest_heard, document.version)
+    greetings: Effects = ()
+    if isinstance(parsed, InstanceList):
+        greetings = _take_instances(state, parsed)
+    pushes = _push(state, key, before, document)
+    if not state.joined:
+        return (*greetings, *pushes)
+    return (*pushes, PutInForce(key, document, parsed))
+
+
+def _push(
+    state: DisseminationState,
+    key: str,
+    before: Document,
+    after: Document,
+) -> Effects:
+    """Tell the neighbours: by a delta if it is short, else by version."""
+    message: Announce | DocumentDelta
+    message = make_announce(state, wants_reply=False)
+    if before.content:
+        delta = DocumentDelta(
+            key,
+            before.version,
+            after.version,
+            compute_changes(before, after),
+        )
+        state.held[key].history.append(delta)
+        if len(delta.changes) <= defaults.MAX_PUSHED:
+            message = delta
+    return tuple(SendMessage(peer, message) for peer in state.neighbours)
+
+
+def _take_message(
+    state: DisseminationState,
+    event: MessageReceived,
+) -> Effects:
+    state.heard_peer_at = event.now
+    handler = _MESSAGE_HANDLERS[type(event.message)]
+    return handler(state, event, event.message)
+
+
+def _take_announce(
+    state: DisseminationState,
+    event: MessageReceived,
+    message: Announce,
+) -> Effects:
+    effects: list[DisseminationEffect] = []
+    for key, held in state.held.items():
+        theirs = message.versions.get(key)
+        if theirs is None:
+            continue
+        held.highest_heard = max(held.highest_heard, theirs)
+        if theirs > held.document.version:
+            effects.extend(_fetch(state, key, event.sender, event.now))
+    if message.wants_reply:
+        reply = make_announce(state, wants_reply=False)
+        effects.append(SendMessage(event.sender, reply))
+    return tuple(effects)
+
+
+def _fetch(
+    state: DisseminationState,
+    key: str,
+    peer: Address,
+    now: float,
+) -> Effects:
+    held = state.held[key]
+    if now - held.fetched_at < defaults.FETCH_RETRY_SECONDS:
+        return ()
+    held.fetched_at = now
+    return (SendMessage(peer, Fetch(key, held.document.version)),)
+
+
+def _take_fetch(
+    state: DisseminationState,
+    event: MessageReceived,
+    message: Fetch,
+) -> Effects:
+    held = state.held.get(message.key)
+    if held is None or held.document.version <= message.have:
+        return ()
+    deltas = _find_deltas(tuple(held.history), message.have)
+    if deltas:
+        return tuple(SendMessage(event.sender, delta) for delta in deltas)
+    full = FullDocument(message.key, held.document.content)
+    return SendMessage(event.sender, full), Count('full_documents_sent')
+
+
+def _find_deltas(
+    history: tuple[DocumentDelta, ...],
+    have: DocumentVersion,
+) -> tuple[DocumentDelta, ...]:
+    for index, delta in enumerate(history):
+        if delta.base == have:
+            return history[index:]
+    return ()
+
+
+def _take_full(
+    state: DisseminationState,
+    event: MessageReceived,
+    message: FullDocument,
+) -> Effects:
+    if message.key not in state.held:
+        return (Count('unknown_key'),)
+    read = DocumentRead(event.now, message.key, message.content)
+    state.held[message.key].fetched_at = float('-inf')
+    return _take_read(state, read)
+
+
+def _take_delta(
+    state: DisseminationState,
+    event: MessageReceived,
+    message: DocumentDelta,
+) -> Effects:
+    held = state.held.get(message.key)
+    if held is None:
+        return (Count('unknown_key'),)
+    held.highest_heard = max(held.highest_heard, message.target)
+    if message.target <= held.document.version:
+        return ()
+    if message.base != held.document.version:
+        return _fetch(state, message.key, event.sender, event.now)
+    try:
+        document = apply_changes(held.document, message.changes)
+    except UnusableDocument as error:
+        return (Count(error.code),)
+    held.fetched_at = float('-inf')
+    if document.version != message.target:
+        return (Count('delta_mismatch'),)
+    return _take_document(state, message.key, document, event.now)
+
+
+def _take_revision(state: DisseminationState, event: RevisionSeen) -> Effects:
+    """Pull the table from whoever shows in its traffic that it is ahead.
+
+    It is a minimum revision that a trusted sender vouches for, as in the
+    revision gate of "The write succeeded, then the old value came back".
+    """
+    held = state.held[TABLE_KEY]
+    if event.revision <= held.document.version.revision:
+        return ()
+    control = state.control_by_data.get(event.sender)
+    if control is None:
+        return ()
+    fetch = _fetch(state, TABLE_KEY, control, event.now)
+    return (*fetch, Count('revisions_seen_ahead')) if fetch else ()
+
+
+def _take_instances(
+    state: DisseminationState,
+    instances: InstanceList,
+) -> Effects:
+    """Choose neighbours anew; a joiner asks all of them what they hold."""
+    state.instances = instances
+    neighbours = choose_neighbours(state.identity, instances)
+    state.neighbours = neighbours or state.identity.seeds
+    state.chosen_reader = is_reader(state.identity, instances)
+    state.control_by_data = {
+        one.data: one.control for one in instances.instances
+    }
+    if state.joined or state.heard_peer_at is not None:
+        return ()
+    greeting = make_announce(state, wants_reply=True)
+    return tuple(SendMessage(peer, greeting) for peer in state.neighbours)
+
+
+def _handle_timer(state: DisseminationState, event: TimerFired) -> Effects:
+    return (
+        *_choose_reading(state, event.now),
+        *_exchange(state, event.now),
+        *_join(state, event.now),
+    )
+
+
+def _choose_reading(state: DisseminationState, now: float) -> Effects:
+    heard = state.heard_peer_at
+    last = state.started if heard is None else heard
+    alone = now - last >= defaults.FALLBACK_SECONDS
+    newcomer = not state.joined
+    wanted = state.chosen_reader or alone or newcomer
+    if wanted == state.reading:
+        return ()
+    state.reading = wanted
+    return (Read(wanted),)
+
+
+def _exchange(state: DisseminationState, now: float) -> Effects:
+    if now < state.exchange_at or not state.neighbours:
+        return ()
+    spread = state.random.uniform(*defaults.ANTI_ENTROPY_SPREAD)
+    state.exchange_at = now + defaults.ANTI_ENTROPY_SECONDS * spread
+    peer = state.random.choice(state.neighbours)
+    return (SendMessage(peer, make_announce(state, wants_reply=True)),)
+
+
+def _join(state: DisseminationState, now: float) -> Effects:
+    """Let a joiner work once it holds the highest version it heard of."""
+    if state.joined or not state.held[TABLE_KEY].document.content:
+        return ()
+    waited = now - state.started >= defaults.JOIN_SECONDS
+    asked = state.heard_peer_at is not None or not state.neighbours
+    current = all(
+        held.document.version >= held.highest_heard
+        for held in state.held.values()
+    )
+    if not waited and not (asked and current):
+        return ()
+    state.joined = True
+    return tuple(
+        PutInForce(key, held.document, held.parsed)
+        for key, held in state.held.items()
+        if held.parsed is not None
+    )
+
+
+_HANDLERS: Final = MappingProxyType[
+    type,
+    Callable[[DisseminationState, Any], Effects],
+]({
+    DocumentRead: _take_read,
+    MessageReceived: _take_message,
+    RevisionSeen: _take_revision,
+    TimerFired: _handle_timer,
+})
+
+_MESSAGE_HANDLERS: Final = MappingProxyType[
+    type,
+    Callable[[DisseminationState, MessageReceived, Any], Effects],
+]({
+    Announce: _take_announce,
+    Fetch: _take_fetch,
+    FullDocument: _take_full,
+    DocumentDelta: _take_delta,
+})
--- /dev/null
+++ b/packages/keelgap/src/keelgap/instances.py
@@ -0,0 +1,92 @@
+"""The platform's list of live and leaving instances; it lags."""
+
+from typing import Final, Literal, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from keelgap.addresses import Address
+from keelgap.exceptions import Fault, TableRefused
+
+__all__ = ('NO_INSTANCES', 'Instance', 'InstanceList', 'build_instances')
+
+Role = Literal['balancer', 'agent']
+InstanceState = Literal['live', 'leaving']
+
+
+class _InstanceRow(TypedDict):
+    name: str
+    role: Role
+    address: str
+    data_port: int
+    control_port: int
+    availability_zone: str
+    state: NotRequired[InstanceState]
+
+
+class _InstanceDocument(TypedDict):
+    revision: int
+    instances: list[_InstanceRow]
+
+
+class Instance(NamedTuple):
+    """One process of the fleet as the platform knows it."""
+
+    name: str
+    role: Role
+    #: UDP address for encapsulated datagrams.
+    data: Address
+    #: TCP address for pyzmq.
+    control: Address
+    availability_zone: str
+    state: InstanceState
+
+
+class InstanceList(NamedTuple):
+    """All instances at one revision of the list."""
+
+    revision: int
+    instances: tuple[Instance, ...]
+
+    def select_data(
+        self, role: Role, state: InstanceState
+    ) -> frozenset[Address]:
+        """Return the data addresses of one role in one state."""
+        return frozenset(
+            instance.data
+            for instance in self.instances
+            if instance.role == role and instance.state == state
+        )
+
+
+#: What a process has before it heard of any list.
+NO_INSTANCES: Final = InstanceList(0, ())
+
+
+def build_instances(decoded: object) -> InstanceList:
+    """Return the list of a decoded document, or raise TableRefused."""
+    try:
+        document = msgspec.convert(decoded, _InstanceDocument)
+    except msgspec.ValidationError as error:
+        raise TableRefused((
+            Fault(
+                'keelgap.E016',
+                'instances',
+                str(error),
+                'the platform publishes this list; see docs/ref/table.md',
+            ),
+        )) from error
+    return InstanceList(
+        document['revision'],
+        tuple(_make_instance(row) for row in document['instances']),
+    )
+
+
+def _make_instance(row: _InstanceRow) -> Instance:
+    return Instance(
+        row['name'],
+        row['role'],
+        Address(row['address'], row['data_port']),
+        Address(row['address'], row['control_port']),
+        row['availability_zone'],
+        row.get('state', 'live'),
+    )
--- /dev/null
+++ b/packages/keelgap/src/keelgap/keys.py
@@ -0,0 +1,134 @@
+"""Keys that all processes of a fleet share, read from files."""
+
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from keelgap.conf import KeySettings
+from keelgap.exceptions import Fault, ImproperlyConfigured
+from keelgap.routing.connection_ids import KEY_LENGTH, ConnectionIdCodec
+from keelgap.wire.encapsulation import EnvelopeCodec
+
+__all__ = ('FleetKeys', 'load_keys')
+
+_MAC_KEY_LENGTH: Final = 32
+_CURVE_TEXT_LENGTH: Final = 40
+_KEY_IDS: Final = (1, 2)
+_SUFFIXES: Final = ('first', 'second')
+_BAD_KEY: Final = 'keelgap.E022'
+_BAD_KEY_ID: Final = 'keelgap.E023'
+_HINT: Final = 'make one with `keelgap example keys DIRECTORY`'
+
+
+class FleetKeys(NamedTuple):
+    """The live keys by key id; never logged."""
+
+    connection_ids: dict[int, bytes]
+    connection_ids_issue: int
+    mac: dict[int, bytes]
+    mac_sign: int
+    #: CURVE key pair of the fleet in Z85, as pyzmq takes it.
+    curve_public: bytes
+    curve_secret: bytes
+
+    def make_connection_ids(self) -> ConnectionIdCodec:
+        """Return a codec for connection ids under these keys."""
+        return ConnectionIdCodec(
+            self.connection_ids,
+            self.connection_ids_issue,
+        )
+
+    def make_envelopes(self, incarnation: int) -> EnvelopeCodec:
+        """Return a codec for envelopes under these keys."""
+        return EnvelopeCodec(self.mac, self.mac_sign, incarnation)
+
+
+class _KeyReader:
+    """Read key files and collect what is wrong with them."""
+
+    def __init__(self) -> None:
+        self.faults: list[Fault] = []
+
+    def read_pair(
+        self,
+        name: str,
+        files: tuple[str, str],
+        length: int,
+    ) -> dict[int, bytes]:
+        """Return the keys of the files that are named, by key id."""
+        return {
+            key_id: self.read_hexadecimal(f'{name}_{suffix}', path, length)
+            for key_id, suffix, path in zip(_KEY_IDS, _SUFFIXES, files)
+            if path
+        }
+
+    def read_hexadecimal(self, name: str, path: str, length: int) -> bytes:
+        """Return a key of a known length."""
+        try:
+            key = bytes.fromhex(self.read_text(name, path))
+        except ValueError:
+            key = b''
+        if len(key) != length:
+            self.report(name, f'{path} does not hold {length} octets')
+        return key
+
+    def read_curve(self, name: str, path: str) -> bytes:
+        """Return one half of the CURVE key pair in Z85."""
+        text = self.read_text(name, path).strip()
+        if len(text) != _CURVE_TEXT_LENGTH:
+            self.report(name, f'{path} does not hold a Z85 key')
+        return text.encode()
+
+    def read_text(self, name: str, path: str) -> str:
+        """Return the text of a file, empty if it cannot be read."""
+        try:
+            return Path(path).read_text('utf-8')
+        except (OSError, UnicodeDecodeError) as error:
+            self.report(name, f'cannot read {path}: {error}')
+            return ''
+
+    def report(self, name: str, problem: str) -> None:
+        """Note a fault of a key file."""
+        self.faults.append(Fault(_BAD_KEY, name, problem, _HINT))
+
+
+def load_keys(settings: KeySettings) -> FleetKeys:
+    """Return the keys; raises ImproperlyConfigured with every fault."""
+    reader = _KeyReader()
+    keys = FleetKeys(
+        reader.read_pair(
+            'keys.connection_ids',
+            (settings.connection_ids_first, settings.connection_ids_second),
+            KEY_LENGTH,
+        ),
+        settings.connection_ids_issue,
+        reader.read_pair(
+            'keys.mac',
+            (settings.mac_first, settings.mac_second),
+            _MAC_KEY_LENGTH,
+        ),
+        settings.mac_sign,
+        reader.read_curve('keys.curve_public', settings.curve_public),
+        reader.read_curve('keys.curve_secret', settings.curve_secret),
+    )
+    faults = (*reader.faults, *_check_key_ids(keys))
+    if faults:
+        raise ImproperlyConfigured(faults)
+    return keys
+
+
+def _check_key_ids(keys: FleetKeys) -> list[Fault]:
+    chosen = (
+        ('keys.connection_ids_issue', keys.connection_ids_issue),
+        ('keys.mac_sign', keys.mac_sign),
+    )
+    live = (keys.connection_ids, keys.mac)
+    return [
+        Fault(
+            _BAD_KEY_ID,
+            name,
+            f'there is no key with id {key_id}',
+            'name the id of a key that has a file',
+        )
+        for (name, key_id), members in zip(chosen, live, strict=True)
+        if key_id not in members
+    ]
--- /dev/null
+++ b/packages/keelgap/src/keelgap/plane.py
@@ -0,0 +1,135 @@
+"""The control side of a process: control channel, dissemination, admin."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from random import Random
+from typing import Final, NamedTuple
+
+import aiohttp
+
+from keelgap.addresses import Address, InvalidAddress, parse_address
+from keelgap.conf import (
+    ConfigServiceSettings,
+    InstanceSettings,
+    ListenSettings,
+)
+from keelgap.control.channel import ControlChannel
+from keelgap.control.messages import Delivery
+from keelgap.dissemination.driver import CHECKERS, DisseminationDriver
+from keelgap.dissemination.source import DocumentReader
+from keelgap.dissemination.state import (
+    DisseminationIdentity,
+    DisseminationState,
+    Parsed,
+)
+from keelgap.exceptions import Fault, ImproperlyConfigured
+from keelgap.keys import FleetKeys
+from keelgap.metrics import SharedMetrics
+
+__all__ = (
+    'ControlPlane',
+    'PlaneSettings',
+    'make_incarnation',
+    'start_control_plane',
+)
+
+_NANOSECONDS: Final = 1000000
+_BAD_SEED: Final = 'keelgap.E024'
+
+
+class PlaneSettings(NamedTuple):
+    """The settings that the control side reads."""
+
+    instance: InstanceSettings
+    listen: ListenSettings
+    config_service: ConfigServiceSettings
+
+
+class ControlPlane(NamedTuple):
+    """What a program does control with."""
+
+    channel: ControlChannel
+    dissemination: DisseminationDriver
+
+
+def make_incarnation() -> int:
+    """Return the start time in milliseconds since the epoch."""
+    return time.time_ns() // _NANOSECONDS
+
+
+async def start_control_plane(
+    settings: PlaneSettings,
+    keys: FleetKeys,
+    metrics: SharedMetrics,
+    on_change: Callable[[Parsed], None],
+    on_other: Callable[[Delivery], None],
+    stack: AsyncExitStack,
+) -> ControlPlane:
+    """Bind the control port and start to learn; the stack stops it all.
+
+    Messages that are not of dissemination go to on_other.
+    """
+    address = settings.instance.address
+    control = Address(address, settings.listen.control_port)
+
+    def deliver(delivery: Delivery) -> None:
+        if not driver.handle_delivery(delivery):
+            on_other(delivery)
+
+    def count_drop(reason: str) -> None:
+        metrics.drops.labels(reason).inc()
+
+    channel = ControlChannel(control, keys, deliver, count_drop)
+    session = await stack.enter_async_context(aiohttp.ClientSession())
+    driver = _make_driver(settings, channel, session, metrics, on_change)
+    await channel.start(stack)
+    driver.start(stack)
+    return ControlPlane(channel, driver)
+
+
+def _make_driver(
+    settings: PlaneSettings,
+    channel: ControlChannel,
+    session: aiohttp.ClientSession,
+    metrics: SharedMetrics,
+    on_change: Callable[[Parsed], None],
+) -> DisseminationDriver:
+    random = Random()  # noqa: S311
+    identity = DisseminationIdentity(
+        channel.address,
+        settings.instance.availability_zone,
+        _parse_seeds(settings.listen.seeds, channel.address),
+    )
+    # The clock of all events is the loop's.
+    now = asyncio.get_running_loop().time()
+    state = DisseminationState(identity, CHECKERS, random, now)
+
+    def hand_on(key: str, content: bytes) -> None:
+        driver.note_document(key, content)
+
+    reader = DocumentReader(
+        session,
+        settings.config_service,
+        random,
+        hand_on,
+    )
+    driver = DisseminationDriver(state, channel, reader, metrics, on_change)
+    return driver
+
+
+def _parse_seeds(text: str, own: Address) -> tuple[Address, ...]:
+    parts = [part.strip() for part in text.split(',') if part.strip()]
+    try:
+        seeds = tuple(parse_address(part) for part in parts)
+    except InvalidAddress as error:
+        raise ImproperlyConfigured((
+            Fault(
+                _BAD_SEED,
+                'listen.seeds',
+                f'{error} is not an address',
+                'write IPv4:port, IPv4:port',
+            ),
+        )) from error
+    return tuple(seed for seed in seeds if seed != own)
--- /dev/null
+++ b/packages/keelgap/src/keelgap/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which agent a caller's datagram belongs to."""
--- /dev/null
+++ b/packages/keelgap/src/keelgap/table/__init__.py
@@ -0,0 +1,23 @@
+"""The operators' table of services, traffic classes and upstreams."""
+
+from keelgap.table.loader import build_table, compute_digest, load_table
+from keelgap.table.models import (
+    DEFAULT_CLASS,
+    EMPTY_TABLE,
+    Service,
+    Table,
+    TrafficClass,
+    Upstream,
+)
+
+__all__ = (
+    'DEFAULT_CLASS',
+    'EMPTY_TABLE',
+    'Service',
+    'Table',
+    'TrafficClass',
+    'Upstream',
+    'build_table',
+    'compute_digest',
+    'load_table',
+)
--- /dev/null
+++ b/packages/keelgap/src/keelgap/table/checks.py
@@ -0,0 +1,209 @@
+"""Checks of a table document; each fault names its row and column."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Any, Final, NamedTuple
+
+from keelgap.addresses import InvalidAddress, parse_address
+from keelgap.checks import check_columns, check_range
+from keelgap.exceptions import Fault
+from keelgap.table.models import ClassRow, ServiceRow, UpstreamRow
+
+__all__ = ('check_document',)
+
+_MALFORMED: Final = 'keelgap.E010'
+_DUPLICATE: Final = 'keelgap.E011'
+_UNKNOWN_SERVICE: Final = 'keelgap.E012'
+_BAD_ADDRESS: Final = 'keelgap.E013'
+_NOTHING_ACTIVE: Final = 'keelgap.E014'
+_UPSTREAMS: Final = 'upstreams'
+_MAX_UINT16: Final = 65535
+_MAX_REVISION: Final = sys.maxsize
+_MAX_WEIGHT: Final = 1000
+_MAX_COUNT: Final = 1000000
+_MAX_PRIORITY: Final = 9
+_MAX_DEADLINE: Final = 86400
+
+
+class _Section(NamedTuple):
+    name: str
+    row_type: type[object]
+    required: bool = True
+
+
+class _Range(NamedTuple):
+    column: str
+    lowest: float
+    highest: float
+
+
+class _Unique(NamedTuple):
+    section: str
+    column: str
+
+
+_SECTIONS: Final = (
+    _Section('services', ServiceRow),
+    _Section('classes', ClassRow, required=False),
+    _Section(_UPSTREAMS, UpstreamRow),
+)
+_RANGES: Final = (
+    _Range('number', 1, _MAX_UINT16),
+    _Range('port', 1, _MAX_UINT16),
+    _Range('queue_limit', 0, _MAX_COUNT),
+    _Range('priority', 0, _MAX_PRIORITY),
+    _Range('deadline_seconds', 0, _MAX_DEADLINE),
+    _Range('weight', 0, _MAX_WEIGHT),
+    _Range('slots', 1, _MAX_COUNT),
+    _Range('connections', 1, _MAX_COUNT),
+    _Range('cold_start_seconds', 0, _MAX_DEADLINE),
+)
+_UNIQUE: Final = (
+    _Unique('services', 'name'),
+    _Unique('services', 'number'),
+    _Unique('services', 'port'),
+    _Unique(_UPSTREAMS, 'name'),
+    _Unique(_UPSTREAMS, 'agent'),
+)
+
+
+def check_document(document: object) -> Iterator[Fault]:
+    """Yield every fault of a decoded table document."""
+    if not isinstance(document, dict):
+        yield Fault(
+            _MALFORMED,
+            'table',
+            'the document must be a JSON object',
+            'start from `keelgap example table`',
+        )
+        return
+    yield from _check_revision(document.get('revision'))
+    faults = [
+        fault
+        for section in _SECTIONS
+        for fault in _check_section(document, section)
+    ]
+    yield from faults
+    if not faults:
+        yield from _check_relations(document)
+
+
+def _check_revision(revision: object) -> Iterator[Fault]:
+    if isinstance(revision, int) and not isinstance(revision, bool):
+        yield from check_range('revision', revision, 1, _MAX_REVISION)
+        return
+    yield Fault(
+        _MALFORMED,
+        'revision',
+        'a whole number is required',
+        'raise it by one with each change of the table',
+    )
+
+
+def _check_section(
+    document: dict[str, Any],
+    section: _Section,
+) -> Iterator[Fault]:
+    rows = document.get(section.name)
+    if rows is None and not section.required:
+        return
+    if not isinstance(rows, list):
+        yield Fault(
+            _MALFORMED,
+            section.name,
+            'a list of rows is required',
+            f'write "{section.name}": [...]',
+        )
+        return
+    for index, row in enumerate(rows):
+        subject = f'{section.name}[{index}]'
+        faults = list(check_columns(row, section.row_type, subject))
+        yield from faults
+        if not faults:
+            yield from _check_ranges(row, subject)
+
+
+def _check_ranges(row: dict[str, Any], subject: str) -> Iterator[Fault]:
+    for column, lowest, highest in _RANGES:
+        number = row.get(column)
+        if number is not None:
+            yield from check_range(
+                f'{subject}.{column}',
+                number,
+                lowest,
+                highest,
+            )
+
+
+def _check_relations(document: dict[str, Any]) -> Iterator[Fault]:
+    for unique in _UNIQUE:
+        yield from _check_unique(document[unique.section], unique)
+    names = {row['name'] for row in document['services']}
+    yield from _check_references(document, names)
+    yield from _check_addresses(document[_UPSTREAMS])
+    yield from _check_active(document[_UPSTREAMS], names)
+
+
+def _check_unique(
+    rows: Iterable[dict[str, Any]],
+    unique: _Unique,
+) -> Iterator[Fault]:
+    seen: set[object] = set()
+    for index, row in enumerate(rows):
+        cell = row[unique.column]
+        if cell in seen:
+            yield Fault(
+                _DUPLICATE,
+                f'{unique.section}[{index}].{unique.column}',
+                f'{cell!r} stands in an earlier row',
+                'give each row its own',
+            )
+        seen.add(cell)
+
+
+def _check_references(
+    document: dict[str, Any],
+    names: set[str],
+) -> Iterator[Fault]:
+    choices = ', '.join(sorted(names))
+    for section in ('classes', _UPSTREAMS):
+        for index, row in enumerate(document.get(section) or ()):
+            if row['service'] not in names:
+                yield Fault(
+                    _UNKNOWN_SERVICE,
+                    f'{section}[{index}].service',
+                    f'no service is named {row["service"]!r}',
+                    f'services are {choices}',
+                )
+
+
+def _check_addresses(rows: Iterable[dict[str, Any]]) -> Iterator[Fault]:
+    for index, row in enumerate(rows):
+        try:
+            parse_address(row['agent'])
+        except InvalidAddress:
+            yield Fault(
+                _BAD_ADDRESS,
+                f'upstreams[{index}].agent',
+                'the text is not an address',
+                'write IPv4:port',
+            )
+
+
+def _check_active(
+    rows: list[dict[str, Any]],
+    names: set[str],
+) -> Iterator[Fault]:
+    used = {row['service'] for row in rows}
+    active = {
+        row['service']
+        for row in rows
+        if row.get('weight', 1) > 0 and row.get('state') != 'draining'
+    }
+    for name in sorted((names & used) - active):
+        yield Fault(
+            _NOTHING_ACTIVE,
+            f'services[{name}]',
+            'all its upstreams are draining or have weight 0',
+            'leave one active, or take the upstream rows out',
+        )
--- /dev/null
+++ b/packages/keelgap/src/keelgap/wire/packets.py
@@ -0,0 +1,65 @@
+"""The version-independent part of QUIC packet headers (RFC 8999)."""
+
+from typing import Final, NamedTuple
+
+from keelgap.wire.exceptions import MalformedPacket
+
+__all__ = ('CONNECTION_ID_LENGTH', 'PacketHeader', 'parse_header')
+
+#: Octets of the connection ids that agents issue.
+CONNECTION_ID_LENGTH: Final = 17
+_LONG_FORM: Final = 0x80
+_FIXED_BIT: Final = 0x40
+_TYPE_BITS: Final = 0x30
+_LENGTH_AT: Final = 5
+_ID_AT: Final = 6
+_MAX_ID_LENGTH: Final = 20
+_MIN_INITIAL_LENGTH: Final = 1200
+_FIRST_VERSION: Final = b'\x00\x00\x00\x01'
+_VERSION_AT: Final = 1
+_SHORT_HEADER_END: Final = 1 + CONNECTION_ID_LENGTH
+#: Type bits of an Initial packet in QUIC version 2 (RFC 9369, 3.2).
+_INITIAL_BITS_OF_SECOND: Final = 0x10
+_SECOND_VERSION: Final = b'\x6b\x33\x43\xcf'
+
+
+class PacketHeader(NamedTuple):
+    """What a balancer reads of a caller's datagram."""
+
+    destination_id: bytes
+    #: Whether this datagram may open a flow.
+    may_open_flow: bool
+
+
+def parse_header(datagram: bytes) -> PacketHeader:
+    """Read the destination connection id, or raise MalformedPacket.
+
+    A datagram that may open a flow is a padded Initial, or any padded long
+    header of an unknown version, which an agent answers by negotiation.
+    """
+    if len(datagram) < _SHORT_HEADER_END:
+        raise MalformedPacket
+    first = datagram[0]
+    if not first & _LONG_FORM:
+        if not first & _FIXED_BIT:
+            raise MalformedPacket
+        return PacketHeader(datagram[1:_SHORT_HEADER_END], may_open_flow=False)
+    id_length = datagram[_LENGTH_AT]
+    if id_length > _MAX_ID_LENGTH:
+        raise MalformedPacket
+    return PacketHeader(
+        datagram[_ID_AT : _ID_AT + id_length],
+        _may_open_flow(datagram, first),
+    )
+
+
+def _may_open_flow(datagram: bytes, first: int) -> bool:
+    if len(datagram) < _MIN_INITIAL_LENGTH:
+        return False
+    version = datagram[_VERSION_AT:_LENGTH_AT]
+    type_bits = first & _TYPE_BITS
+    if version == _FIRST_VERSION:
+        return type_bits == 0
+    if version == _SECOND_VERSION:
+        return type_bits == _INITIAL_BITS_OF_SECOND
+    return any(version)
--- /dev/null
+++ b/packages/keelgap/src/keelgap/wire/replay.py
@@ -0,0 +1,48 @@
+"""Sliding window against replayed datagrams (RFC 4303, section 3.4.3)."""
+
+from typing import Final
+
+__all__ = ('REPLAY_WINDOW', 'ReplayWindow')
+
+#: How many sequence numbers behind the highest one are remembered.
+REPLAY_WINDOW: Final = 4096
+_MASK: Final = (1 << REPLAY_WINDOW) - 1
+
+
+class ReplayWindow:
+    """Remember which sequence numbers one sender has used lately."""
+
+    __slots__ = ('highest', 'incarnation', 'seen')
+
+    def __init__(self, incarnation: int) -> None:
+        """Start empty for one incarnation of the sender."""
+        self.incarnation = incarnation
+        self.highest = 0
+        self.seen = 0
+
+    def accept(self, incarnation: int, sequence: int) -> bool:
+        """Record a sequence number; False if it may be a replay.
+
+        A later incarnation empties the window, an earlier one is refused.
+        """
+        if incarnation != self.incarnation:
+            if incarnation < self.incarnation:
+                return False
+            self.incarnation = incarnation
+            self.highest = 0
+            self.seen = 0
+        ahead = sequence - self.highest
+        if ahead > 0:
+            self.highest = sequence
+            self.seen = ((self.seen << min(ahead, REPLAY_WINDOW)) | 1) & _MASK
+            return True
+        return self._accept_late(-ahead)
+
+    def _accept_late(self, behind: int) -> bool:
+        if behind >= REPLAY_WINDOW:
+            return False
+        bit = 1 << behind
+        if self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
--- /dev/null
+++ b/tests/site/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out like the packages."""
