--- a/packages/keelgap-standins/src/keelgap_standins/caller.py
+++ b/packages/keelgap-standins/src/keelgap_standins/caller.py
@@ -10,9 +10,11 @@
 
 from aioquic.asyncio.client import connect
 from aioquic.asyncio.protocol import QuicConnectionProtocol
-from aioquic.h3.connection import H3Connection
+from aioquic._buffer import Buffer  # noqa: WPS436
+from aioquic.h3.connection import ErrorCode, FrameType, H3Connection
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
     ConnectionTerminated,
     ProtocolNegotiated,
@@ -22,13 +24,36 @@
 
 from keelgap.addresses import Address
 
-__all__ = ('Caller', 'CallerAnswer', 'FlowBroken', 'open_caller')
+__all__ = (
+    'Caller',
+    'CallerAnswer',
+    'FlowBroken',
+    'RequestRejected',
+    'open_caller',
+)
 
 TICKET_PATH: Final = '/.well-known/keelgap/ticket'
 NO_HEADERS: Final = MappingProxyType[str, str]({})
 _WINDOW: Final = 131072
 
 
+class RequestRejected(Exception):
+    """The request was not processed; it is safe to send it again."""
+
+
+class _CallerHttp(H3Connection):
+    """HTTP/3 that remembers the stream id of a GOAWAY (RFC 9114, 5.2)."""
+
+    def __init__(self, quic: QuicConnection) -> None:
+        super().__init__(quic)
+        self.goaway: int | None = None
+
+    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+        super()._handle_control_frame(frame_type, frame_data)
+        if frame_type == FrameType.GOAWAY:
+            self.goaway = Buffer(data=frame_data).pull_uint_var()
+
+
 class FlowBroken(Exception):
     """The flow ended before the answer was whole."""
 
@@ -63,7 +88,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Start before the handshake."""
         super().__init__(*args, **kwargs)
-        self.http: H3Connection | None = None
+        self.http: _CallerHttp | None = None
         self.pending: dict[int, _Pending] = {}
         self.authority = 'localhost'
         #: Why the connection ended, if it did.
@@ -109,8 +134,8 @@
         headers: Mapping[str, str] = NO_HEADERS,
     ) -> int:
         """Open a request and return its stream."""
-        if self.end is not None or self.http is None:
-            raise FlowBroken(self.end)
+        if self.http is None or not self.is_open:
+            raise RequestRejected
         stream_id = self._quic.get_next_available_stream_id()
         self.pending[stream_id] = _Pending()
         pairs = [
@@ -161,21 +186,31 @@
     def quic_event_received(self, event: QuicEvent) -> None:
         """Take what the connection received."""
         if isinstance(event, ProtocolNegotiated):
-            self.http = H3Connection(self._quic)
+            self.http = _CallerHttp(self._quic)
         elif isinstance(event, ConnectionTerminated):
             self.end = event
-            for pending in self.pending.values():
-                self._fail(pending, FlowBroken(event))
+            for stream_id in self.pending:
+                self._fail(stream_id, rejected=self._is_beyond(stream_id))
         elif isinstance(event, StreamReset):
-            known = self.pending.get(event.stream_id)
-            if known is not None:
-                self._fail(known, FlowBroken(event))
+            rejected = event.error_code == ErrorCode.H3_REQUEST_REJECTED
+            self._fail(event.stream_id, rejected=rejected)
         elif self.http is not None:
             for http_event in self.http.handle_event(event):
                 self._take(http_event)
 
-    def _fail(self, pending: _Pending, error: FlowBroken) -> None:
-        if not pending.done.done():
+    @property
+    def is_open(self) -> bool:
+        """Return whether the caller may open another request."""
+        return self.end is None and not (self.http and self.http.goaway)
+
+    def _is_beyond(self, stream_id: int) -> bool:
+        goaway = self.http.goaway if self.http else None
+        return goaway is not None and stream_id >= goaway
+
+    def _fail(self, stream_id: int, *, rejected: bool) -> None:
+        pending = self.pending.get(stream_id)
+        if pending is not None and not pending.done.done():
+            error = RequestRejected() if rejected else FlowBroken(self.end)
             pending.done.set_exception(error)
 
     def _take(self, event: H3Event) -> None:
--- a/packages/keelgap-standins/src/keelgap_standins/site.py
+++ b/packages/keelgap-standins/src/keelgap_standins/site.py
@@ -98,6 +98,8 @@
         self.rows: dict[str, dict[str, Any]] = {}
         self.balancers: dict[str, RunningBalancer] = {}
         self.agents: dict[str, RunningAgent] = {}
+        #: Agents that have left, for what their upstreams counted.
+        self.retired: list[RunningAgent] = []
         self.listed: dict[str, dict[str, Any]] = {}
         self.next_host = 10
 
@@ -184,6 +186,7 @@
         self.mark_leaving(name)
         leaving = self.agents[name]
         await leaving.server.drain()
+        self.retired.append(self.agents.pop(name))
         await leaving.stack.aclose()
         self.rows.pop(name)
         self.publish()
@@ -230,6 +233,11 @@
         self.listed.pop(name)
         self.publish_instances()
 
+    def list_upstreams(self) -> list[Upstream]:
+        """Return all upstreams, also those that have left."""
+        running = [*self.agents.values(), *self.retired]
+        return [one.upstream for one in running]
+
     def get_revisions(self) -> set[int]:
         """Return the table revisions in force in all processes."""
         balancers = {
