--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the ``keelgap-agent`` program, one module each."""
--- a/packages/keelgap-agent/src/keelgap_agent/connections.py
+++ b/packages/keelgap-agent/src/keelgap_agent/connections.py
@@ -13,6 +13,7 @@
 from aioquic.quic import events as quic_events
 
 from keelgap.addresses import Address
+from keelgap_agent.defaults import BODY_WAIT_SECONDS
 from keelgap_agent.quic import AgentQuicConnection, send_goaway
 from keelgap_agent.streams import CallerStream, StreamPort
 
@@ -164,9 +165,20 @@
         )
         self.streams[event.stream_id] = stream
         stream.body.feed(b'', ended=event.stream_ended)
+        if stream.expected is None and not event.stream_ended:
+            asyncio.get_running_loop().call_later(
+                BODY_WAIT_SECONDS,
+                self._announce_waiting,
+                stream,
+            )
         if self.goaway is not None and event.stream_id >= self.goaway:
             stream.reject()
 
+    def _announce_waiting(self, stream: CallerStream) -> None:
+        stream.waited = True
+        if stream.stream_id in self.streams:
+            stream.announce(self.hooks.on_request)
+
     def _cancel(self, stream_id: int) -> None:
         stream = self.streams.get(stream_id)
         if stream is not None:
--- a/packages/keelgap-agent/src/keelgap_agent/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/defaults.py
@@ -8,6 +8,7 @@
     'ASK_TIMEOUT_SECONDS',
     'BACKOFF_BASE_SECONDS',
     'BACKOFF_MAX_SECONDS',
+    'BODY_WAIT_SECONDS',
     'BUDGET_CAP',
     'BUDGET_SHARE',
     'HANDOVER_MEMORY_SECONDS',
@@ -51,6 +52,9 @@
 #: Longest request body that may go to another agent.
 PORTABLE_OCTETS: Final = 65536
 
+#: How long a body of unknown length is awaited, in case it is short.
+BODY_WAIT_SECONDS: Final = 0.1
+
 #: An issuer that did not answer is asked again after this time.
 ASK_RETRY_SECONDS: Final = 1.0
 
--- a/packages/keelgap-agent/src/keelgap_agent/streams.py
+++ b/packages/keelgap-agent/src/keelgap_agent/streams.py
@@ -51,6 +51,8 @@
         self.request_id = request_id
         self.body = BodyBuffer(self._take)
         self.announced = False
+        #: Whether the wait for a body of unknown length is over.
+        self.waited = False
         self.head_sent = False
         self.closed = False
         self.room = asyncio.Event()
@@ -75,11 +77,12 @@
     def is_ready(self) -> bool:
         """Return whether admission may look at the request.
 
-        A short body is awaited first, so that it can go to another agent.
+        A short body is awaited first, so that it can go to another agent;
+        one of unknown length only for BODY_WAIT_SECONDS.
         """
-        if self.body.ended or self.expected is None:
+        if self.body.ended or self.waited:
             return True
-        return self.expected > PORTABLE_OCTETS
+        return max(self.expected or 0, self.body.size) > PORTABLE_OCTETS
 
     def announce(
         self,
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the ``keelgap`` program, one module each."""
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/commands/run.py
@@ -0,0 +1,21 @@
+"""Run a balancer with the settings of an INI file."""
+
+from keelgap.conf import load_settings
+from keelgap.exceptions import KeelgapError
+from keelgap.logs import configure_logs
+from keelgap.process import exit_on_error
+from keelgap.process import run as run_server
+from keelgap_balancer.conf import BalancerSettings
+from keelgap_balancer.server import BalancerServer
+
+__all__ = ('run',)
+
+
+def run(path: str) -> int:
+    """Run until SIGTERM; return the exit status."""
+    try:
+        settings = load_settings(path, BalancerSettings)
+    except KeelgapError as error:
+        return exit_on_error(error)
+    configure_logs('keelgap', settings.instance.name)
+    return run_server(lambda: BalancerServer(settings))
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/commands/status.py
@@ -0,0 +1,67 @@
+"""Compare the revision in force in several processes."""
+
+import asyncio
+from typing import Final, TypedDict
+
+import msgspec
+
+from keelgap.process import EXIT_FAULTS
+from keelgap.readback import Reading, read_all
+
+__all__ = ('status',)
+
+_NAME: Final = 'name'
+
+
+class _Line(TypedDict):
+    address: str
+    name: str
+    revision: int | None
+    digest: str
+    state: str
+
+
+def status(addresses: tuple[str, ...], *, as_json: bool) -> int:
+    """Print a line for each process; exit 0 if all have the same table."""
+    readings = asyncio.run(read_all(addresses, '/table'))
+    lines = _compare(readings)
+    if as_json:
+        print(msgspec.json.encode(lines).decode())  # noqa: WPS421
+    else:
+        for line in lines:
+            print(*line.values(), sep='  ')  # noqa: WPS421
+    states = {entry['state'] for entry in lines}
+    return EXIT_FAULTS if states - {'current'} else 0
+
+
+def _compare(readings: list[Reading]) -> list[_Line]:
+    versions = [
+        _get_version(reading) for reading in readings if not reading.error
+    ]
+    newest = max(versions, default=(0, ''))
+    return [_describe(reading, newest) for reading in readings]
+
+
+def _get_version(reading: Reading) -> tuple[int, str]:
+    table = reading.document['table']
+    return (table['revision'], table['digest'])
+
+
+def _describe(reading: Reading, newest: tuple[int, str]) -> _Line:
+    if reading.error is not None:
+        return _Line(
+            address=reading.address,
+            name='-',
+            revision=None,
+            digest='-',
+            state=reading.error.code,
+        )
+    revision, digest = _get_version(reading)
+    current = (revision, digest) == newest
+    return _Line(
+        address=reading.address,
+        name=reading.document[_NAME],
+        revision=revision,
+        digest=digest,
+        state='current' if current else 'behind',
+    )
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/main.py
@@ -0,0 +1,49 @@
+"""The ``keelgap`` program: the balancer and the operators' commands."""
+
+import sys
+
+import fire
+from fire.decorators import SetParseFn, SetParseFns
+from fire.parser import DefaultParseValue
+
+from keelgap import VERSION
+from keelgap_balancer.commands.check import Check
+from keelgap_balancer.commands.example import Example
+from keelgap_balancer.commands.run import run
+from keelgap_balancer.commands.show import Show
+from keelgap_balancer.commands.status import status
+
+__all__ = ('Commands', 'main')
+
+
+class Commands:
+    """keelgap: a layer-4 load balancer for services that change often."""
+
+    def __init__(self) -> None:
+        """Group the commands."""
+        self.check = Check()
+        self.example = Example()
+        self.show = Show()
+
+    @SetParseFn(str)
+    def run(self, settings: str) -> None:
+        """Run a balancer with the settings of an INI file."""
+        sys.exit(run(settings))
+
+    @SetParseFns(json=DefaultParseValue)
+    @SetParseFn(str)
+    def status(self, *addresses: str, json: bool = False) -> None:
+        """Print the revision in force at each ADMIN_ADDRESS, and who lags."""
+        sys.exit(status(addresses, as_json=json))
+
+    def version(self) -> str:
+        """Print the version."""
+        return VERSION
+
+
+def main() -> None:
+    """Run the command line."""
+    if '--version' in sys.argv[1:]:
+        print(f'keelgap {VERSION}')  # noqa: WPS421
+        return
+    fire.Fire(Commands(), name='keelgap')
--- a/packages/keelgap-standins/src/keelgap_standins/secrets.py
+++ b/packages/keelgap-standins/src/keelgap_standins/certificates.py
@@ -1,36 +1,17 @@
-"""Key files and certificates for loopback."""
+"""Self-signed certificates for loopback."""
 
-import secrets
 from datetime import UTC, datetime, timedelta
 from ipaddress import IPv4Address
 from pathlib import Path
 
-import zmq
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-__all__ = ('write_certificate', 'write_keys')
+__all__ = ('write_certificate',)
 
 _LIFE = timedelta(days=30)
-_CONNECTION_ID_KEY = 16
-_MAC_KEY = 32
-
-
-def write_keys(directory: Path) -> None:
-    """Write fresh keys for a fleet, each in a file of its own."""
-    public, secret = zmq.curve_keypair()
-    texts = {
-        'connection-ids-first.key': secrets.token_hex(_CONNECTION_ID_KEY),
-        'mac-first.key': secrets.token_hex(_MAC_KEY),
-        'curve-public.key': public.decode(),
-        'curve-secret.key': secret.decode(),
-    }
-    for name, text in texts.items():
-        path = directory / name
-        path.touch(mode=0o600)
-        path.write_text(f'{text}\n', 'utf-8')
 
 
 def write_certificate(directory: Path, host: str) -> None:
--- a/packages/keelgap-standins/src/keelgap_standins/site.py
+++ b/packages/keelgap-standins/src/keelgap_standins/site.py
@@ -24,11 +24,12 @@
     UpstreamSettings,
 )
 from keelgap_agent.server import AgentServer
+from keelgap_balancer.commands.example import make_keys
 from keelgap_balancer.conf import BalancerSettings, DrainSettings
 from keelgap_balancer.server import BalancerServer
 from keelgap_standins.config_service import ConfigService
 from keelgap_standins.fabric import Fabric
-from keelgap_standins.secrets import write_certificate, write_keys
+from keelgap_standins.certificates import write_certificate
 from keelgap_standins.upstream import Upstream
 
 __all__ = ('RunningAgent', 'RunningBalancer', 'ServiceSpec', 'Site')
@@ -85,7 +86,7 @@
         self.directory = Path(
             stack.enter_context(tempfile.TemporaryDirectory()),
         )
-        write_keys(self.directory)
+        make_keys(self.directory)
         write_certificate(self.directory, self.host(1))
         self.config = ConfigService()
         self.fabric = Fabric(
--- /dev/null
+++ b/packages/keelgap/src/keelgap/process.py
@@ -0,0 +1,60 @@
+"""What a program does around its server: loop, signals, typed failures."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from typing import Final, Protocol
+
+import uvloop
+
+from keelgap.exceptions import KeelgapError
+from keelgap.logs import logger
+
+__all__ = ('EXIT_BAD_SETTINGS', 'EXIT_FAULTS', 'Server', 'exit_on_error', 'run')
+
+#: Exit status of a check that found faults.
+EXIT_FAULTS: Final = 1
+#: Exit status of a program that cannot start with its settings.
+EXIT_BAD_SETTINGS: Final = 2
+
+
+class Server(Protocol):
+    """A balancer or an agent."""
+
+    async def start(self, stack: AsyncExitStack) -> None:
+        """Bind everything; the stack closes it."""
+
+    async def drain(self) -> None:
+        """Leave in a planned way."""
+
+
+def exit_on_error(error: KeelgapError) -> int:
+    """Print a typed failure without a traceback; return the exit status."""
+    print(f'{error.code}: {error}', file=sys.stderr)  # noqa: WPS421
+    return EXIT_BAD_SETTINGS
+
+
+def run(make_server: Callable[[], Server]) -> int:
+    """Run a server until SIGTERM or SIGINT; return the exit status."""
+    try:
+        uvloop.run(_run(make_server))
+    except KeelgapError as error:
+        return exit_on_error(error)
+    return 0
+
+
+async def _run(make_server: Callable[[], Server]) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    async with AsyncExitStack() as stack:
+        server = make_server()
+        await server.start(stack)
+        logger.info('started')
+        await stop.wait()
+        logger.info('draining')
+        await server.drain()
+    logger.info('stopped')
--- /dev/null
+++ b/packages/keelgap/src/keelgap/readback.py
@@ -0,0 +1,51 @@
+"""Read what is in force from the admin addresses of processes."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+import aiohttp
+import msgspec
+
+from keelgap.exceptions import KeelgapError
+
+__all__ = ('Reading', 'Unreachable', 'read_all', 'read_page')
+
+_TIMEOUT: Final = aiohttp.ClientTimeout(total=5)
+
+
+class Unreachable(KeelgapError):
+    """An admin address does not answer."""
+
+    code = 'unreachable'
+
+
+class Reading(NamedTuple):
+    """What one admin address said, or why it did not."""
+
+    address: str
+    document: Any
+    error: Unreachable | None = None
+
+
+async def read_page(address: str, path: str) -> Any:
+    """Return the JSON of one page, or raise Unreachable."""
+    url = f'http://{address}{path}'
+    try:
+        async with aiohttp.ClientSession(timeout=_TIMEOUT) as session:
+            async with session.get(url, raise_for_status=True) as response:
+                return msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        raise Unreachable(f'{address}: {error}') from error
+
+
+async def read_all(addresses: Iterable[str], path: str) -> list[Reading]:
+    """Return the same page of several processes."""
+    return list(await asyncio.gather(*(_try(one, path) for one in addresses)))
+
+
+async def _try(address: str, path: str) -> Reading:
+    try:
+        return Reading(address, await read_page(address, path))
+    except Unreachable as error:
+        return Reading(address, None, error)
