--- a/packages/keelgap-agent/src/keelgap_agent/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/server.py
@@ -138,7 +138,7 @@
     def _make_flows(self) -> FlowTable:
         owner = FlowOwner(self.driver.state.identity.data, 0)
         sender = EnvelopeSender(
-            self.keys.make_envelopes(self.incarnation),
+            self.keys.make_envelopes(self.incarnation, owner.agent),
             self.metrics,
             self._get_revision,
             lambda: flows.owner.service,
--- a/packages/keelgap-balancer/src/keelgap_balancer/driver.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/driver.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from types import MappingProxyType
-from typing import Any
+from typing import Any, cast
 
 from keelgap.addresses import Address
 from keelgap.exceptions import PortInUse
@@ -165,8 +165,10 @@
         get_time = self.loop.time
 
         def read_caller(datagram: bytes, sender: tuple[str, int]) -> None:
+            # A plain pair equals an Address and costs nothing to make.
+            caller = cast('Address', sender)
             self.dispatch(
-                CallerDatagram(get_time(), service, Address(*sender), datagram),
+                CallerDatagram(get_time(), service, caller, datagram),
             )
 
         return read_caller
--- a/packages/keelgap-balancer/src/keelgap_balancer/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/server.py
@@ -60,7 +60,7 @@
         listen = self.settings.listen
         data = Address(instance.address, listen.data_port)
         state = BalancerState(data, self.keys.make_connection_ids())
-        envelopes = self.keys.make_envelopes(make_incarnation())
+        envelopes = self.keys.make_envelopes(make_incarnation(), data)
         self.driver = BalancerDriver(state, envelopes, self.metrics)
         self.driver.start(stack.enter_context(ExitStack()))
         self.plane = await start_control_plane(
--- a/packages/keelgap/src/keelgap/keys.py
+++ b/packages/keelgap/src/keelgap/keys.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from keelgap.addresses import Address
 from keelgap.conf import KeySettings
 from keelgap.exceptions import Fault, ImproperlyConfigured
 from keelgap.routing.connection_ids import KEY_LENGTH, ConnectionIdCodec
@@ -37,9 +38,13 @@
             self.connection_ids_issue,
         )
 
-    def make_envelopes(self, incarnation: int) -> EnvelopeCodec:
-        """Return a codec for envelopes under these keys."""
-        return EnvelopeCodec(self.mac, self.mac_sign, incarnation)
+    def make_envelopes(
+        self,
+        incarnation: int,
+        address: Address,
+    ) -> EnvelopeCodec:
+        """Return a codec for envelopes of one process under these keys."""
+        return EnvelopeCodec(self.mac, self.mac_sign, incarnation, address)
 
 
 class _KeyReader:
--- a/packages/keelgap/src/keelgap/routing/connection_ids.py
+++ b/packages/keelgap/src/keelgap/routing/connection_ids.py
@@ -9,6 +9,7 @@
 
 import secrets
 import struct
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Final, NamedTuple
 
@@ -28,6 +29,10 @@
 #: Octets of a key: AES-128.
 KEY_LENGTH: Final = 16
 _BLOCK = struct.Struct('!6sH5s3s')
+_OWNER = struct.Struct('!6sH')
+_OWNER_LENGTH: Final = _OWNER.size
+#: More than the agents of the largest fleet.
+_CACHE_SIZE: Final = 32768
 _NONCE_LENGTH: Final = 5
 _CHECK: Final = b'\x6b\x67\x01'
 _RESET_TOKEN_LENGTH: Final = 16
@@ -40,6 +45,12 @@
     service: int
 
 
+@lru_cache(maxsize=_CACHE_SIZE)
+def _read_owner(packed: bytes) -> FlowOwner:
+    agent, service = _OWNER.unpack(packed)
+    return FlowOwner(unpack_address(agent), service)
+
+
 class _KeyContexts(NamedTuple):
     encryptor: CipherContext
     decryptor: CipherContext
@@ -82,10 +93,9 @@
         if contexts is None:
             raise ForgedConnectionId
         block = contexts.decryptor.update(connection_id[1:])
-        packed_agent, service, _, check = _BLOCK.unpack(block)
-        if check != _CHECK:
+        if not block.endswith(_CHECK):
             raise ForgedConnectionId
-        return FlowOwner(unpack_address(packed_agent), service)
+        return _read_owner(block[:_OWNER_LENGTH])
 
     def compute_reset_token(self, connection_id: bytes) -> bytes:
         """Return the stateless reset token (RFC 9000, section 10.3.2).
--- a/packages/keelgap/src/keelgap/wire/encapsulation.py
+++ b/packages/keelgap/src/keelgap/wire/encapsulation.py
@@ -2,17 +2,23 @@
 
 Wire format, network byte order, version 1.0, documented for operators in
 docs/ref/wire.md.  A header of constant size is followed by the payload and a
-keyed BLAKE2b (RFC 7693) code over both.  The code is checked before any other
-field but the version and the key id is read.
+message code over both: AES-GMAC (NIST SP 800-38D) under a key derived by
+BLAKE2b (RFC 7693) from the fleet's key for one incarnation of the sender and
+one receiver, so that the sequence number alone is a unique nonce.  The code is
+checked before any other field is acted upon.
 """
 
 import struct
 from enum import IntEnum
 from hashlib import blake2b
 from types import MappingProxyType
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
+
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
 
 from keelgap.addresses import (
+    PACKED_LENGTH,
     UNSPECIFIED,
     Address,
     pack_address,
@@ -48,10 +54,15 @@
 #: Longest encapsulated datagram in octets; fits any Ethernet path.
 MAX_DATAGRAM: Final = 1472
 _MAC_LENGTH: Final = 16
-_HEADER = struct.Struct('!BBBBQQQHBB6s6s6s6s6s')
+_HEADER = struct.Struct('!BBBBQQQHBB6s6s18s')
 #: Octets that encapsulation adds to a caller's datagram.
 OVERHEAD: Final = _HEADER.size + _MAC_LENGTH
-_PACKED_UNSPECIFIED: Final = pack_address(UNSPECIFIED)
+_PAIR_KEY_LENGTH: Final = 16
+_SEQUENCE_AT: Final = 12
+_REVISION_AT: Final = 20
+_NONCE_PREFIX: Final = bytes(4)
+_INCARNATION = struct.Struct('!Q')
+_NO_CANDIDATES: Final = bytes(MAX_CANDIDATES * PACKED_LENGTH)
 
 
 class MessageKind(IntEnum):
@@ -98,134 +109,216 @@
     envelope: Envelope
 
 
-class _Header(NamedTuple):
-    """The fields of the header in their order on the wire."""
+class _Sealer:
+    """The code of one incarnation of this process for one receiver."""
 
-    major: int
-    minor: int
-    key_id: int
-    kind: int
-    incarnation: int
-    sequence: int
-    revision: int
-    service: int
-    candidate_count: int
-    turn: int
-    caller: bytes
-    via: bytes
-    first: bytes
-    second: bytes
-    third: bytes
+    __slots__ = ('cipher', 'sequence')
+
+    def __init__(self, cipher: AESGCM) -> None:
+        self.cipher = cipher
+        self.sequence = 0
+
+
+class _Opener:
+    """The code of one incarnation of one sender."""
+
+    __slots__ = ('cipher', 'code', 'window')
+
+    def __init__(
+        self,
+        cipher: AESGCM,
+        key_id: int,
+        incarnation: int,
+        window: ReplayWindow,
+    ) -> None:
+        self.cipher = cipher
+        #: Key id and incarnation for which the cipher was derived.
+        self.code = (key_id, incarnation)
+        self.window = window
 
 
-_FIRST_CANDIDATE: Final = _Header._fields.index('first')
 _KINDS: Final = MappingProxyType({int(kind): kind for kind in MessageKind})
 
 
 class EnvelopeCodec:
-    """Seal and open envelopes; holds keys, sequences and replay windows."""
+    """Seal and open envelopes; holds keys, sequences and replay windows.
+
+    Its state grows with the processes that it talks to, never with flows.
+    """
 
     def __init__(
         self,
         keys: dict[int, bytes],
         signing_key_id: int,
         incarnation: int,
+        address: tuple[str, int],
     ) -> None:
-        """Take the live keys by key id, and the one to sign with.
+        """Take the live keys by key id, the one to sign with, and who we are.
 
         The incarnation is the start time of the process in milliseconds;
         it must rise at each start on the same address.
         """
-        self.mac_states = {
-            key_id: blake2b(key=key, digest_size=_MAC_LENGTH)
-            for key_id, key in keys.items()
-        }
+        self.keys = keys
         self.signing_key_id = signing_key_id
         self.incarnation = incarnation
-        self.sequences: dict[tuple[str, int], int] = {}
-        self.windows: dict[tuple[str, int], ReplayWindow] = {}
+        self.address = address
+        self.sealers: dict[tuple[str, int], _Sealer] = {}
+        self.openers: dict[tuple[str, int], _Opener] = {}
 
     def seal(self, envelope: Envelope, receiver: tuple[str, int]) -> bytes:
         """Return the datagram that carries an envelope to its receiver."""
-        sequence = self.sequences.get(receiver, 0) + 1
-        self.sequences[receiver] = sequence
+        sealer = self.sealers.get(receiver)
+        if sealer is None:
+            sealer = self._make_sealer(receiver)
+        sealer.sequence += 1
         candidates = envelope.candidates
-        slots = [pack_address(candidate) for candidate in candidates]
-        slots.extend(
-            _PACKED_UNSPECIFIED for _ in range(MAX_CANDIDATES - len(candidates))
-        )
-        body = (
-            _HEADER.pack(
-                VERSION_MAJOR,
-                VERSION_MINOR,
-                self.signing_key_id,
-                envelope.kind,
-                self.incarnation,
-                sequence,
-                envelope.revision,
-                envelope.service,
-                len(candidates),
-                envelope.turn,
-                pack_address(envelope.caller),
-                pack_address(envelope.via),
-                *slots,
-            )
-            + envelope.payload
+        header = _HEADER.pack(
+            VERSION_MAJOR,
+            VERSION_MINOR,
+            self.signing_key_id,
+            envelope.kind,
+            self.incarnation,
+            sealer.sequence,
+            envelope.revision,
+            envelope.service,
+            len(candidates),
+            envelope.turn,
+            pack_address(envelope.caller),
+            pack_address(envelope.via),
+            _pack_candidates(candidates) if candidates else _NO_CANDIDATES,
         )
-        return body + self._compute_mac(self.signing_key_id, body)
+        body = header + envelope.payload
+        nonce = _NONCE_PREFIX + header[_SEQUENCE_AT:_REVISION_AT]
+        return body + sealer.cipher.encrypt(nonce, b'', body)
 
     def open(self, datagram: bytes, sender: tuple[str, int]) -> Envelope:
         """Return the envelope of an authentic datagram.
 
         Raises a WireError that names why the datagram must be dropped.
         """
-        self._check_size_and_version(datagram)
+        _check_size_and_version(datagram)
         body = datagram[:-_MAC_LENGTH]
-        expected = self._compute_mac(datagram[2], body)
-        if expected != datagram[-_MAC_LENGTH:]:
-            raise WrongMac
-        header = _Header._make(_HEADER.unpack_from(body))
-        self._check_replay(sender, header.incarnation, header.sequence)
-        kind = _KINDS.get(header.kind)
+        _major, _minor, *fields = _HEADER.unpack_from(body)
+        key_id, kind_number, incarnation, sequence, *fields = fields
+        opener = self.openers.get(sender)
+        if opener is None or opener.code != (key_id, incarnation):
+            opener = self._make_opener(sender, key_id, incarnation)
+        self._verify(opener, datagram, body)
+        self._check_replay(sender, opener, sequence)
+        kind = _KINDS.get(kind_number)
         if kind is None:
             raise UnknownKind
-        slots = header[_FIRST_CANDIDATE:]
-        return Envelope(
-            kind,
-            header.service,
-            header.revision,
-            unpack_address(header.caller),
-            unpack_address(header.via),
-            tuple(map(unpack_address, slots[: header.candidate_count])),
-            header.turn,
-            body[_HEADER.size :],
-        )
+        return _make_envelope(kind, fields, body[_HEADER.size :])
 
-    def _compute_mac(self, key_id: int, body: bytes) -> bytes:
-        state = self.mac_states.get(key_id)
-        if state is None:
-            raise UnknownKey
-        mac = state.copy()
-        mac.update(body)
-        return mac.digest()
-
-    def _check_size_and_version(self, datagram: bytes) -> None:
-        if len(datagram) < OVERHEAD:
-            raise TruncatedDatagram
-        if len(datagram) > MAX_DATAGRAM:
-            raise OversizedDatagram
-        if datagram[0] != VERSION_MAJOR:
-            raise UnknownVersion
+    def _verify(
+        self,
+        opener: _Opener,
+        datagram: bytes,
+        body: bytes,
+    ) -> None:
+        nonce = _NONCE_PREFIX + body[_SEQUENCE_AT:_REVISION_AT]
+        try:
+            opener.cipher.decrypt(nonce, datagram[-_MAC_LENGTH:], body)
+        except InvalidTag:
+            raise WrongMac from None
 
     def _check_replay(
         self,
         sender: tuple[str, int],
-        incarnation: int,
+        opener: _Opener,
         sequence: int,
     ) -> None:
-        window = self.windows.get(sender)
-        if window is None:
-            window = ReplayWindow(incarnation)
-            self.windows[sender] = window
-        if not window.accept(incarnation, sequence):
+        if not opener.window.accept(opener.code[1], sequence):
             raise ReplayedDatagram
+        # Only an authentic datagram may change what is kept of a sender.
+        self.openers[sender] = opener
+
+    def _make_sealer(self, receiver: tuple[str, int]) -> _Sealer:
+        cipher = self._derive(
+            self.signing_key_id,
+            self.address,
+            receiver,
+            self.incarnation,
+        )
+        sealer = _Sealer(cipher)
+        self.sealers[receiver] = sealer
+        return sealer
+
+    def _make_opener(
+        self,
+        sender: tuple[str, int],
+        key_id: int,
+        incarnation: int,
+    ) -> _Opener:
+        cipher = self._derive(key_id, sender, self.address, incarnation)
+        known = self.openers.get(sender)
+        window = known.window if known else ReplayWindow(incarnation)
+        return _Opener(cipher, key_id, incarnation, window)
+
+    def _derive(
+        self,
+        key_id: int,
+        sender: tuple[str, int],
+        receiver: tuple[str, int],
+        incarnation: int,
+    ) -> AESGCM:
+        key = self.keys.get(key_id)
+        if key is None:
+            raise UnknownKey
+        pair = (
+            pack_address(sender),
+            pack_address(receiver),
+            _INCARNATION.pack(incarnation),
+        )
+        return AESGCM(
+            blake2b(
+                b''.join(pair),
+                key=key,
+                person=b'envelope',
+                digest_size=_PAIR_KEY_LENGTH,
+            ).digest(),
+        )
+
+
+def _check_size_and_version(datagram: bytes) -> None:
+    if len(datagram) < OVERHEAD:
+        raise TruncatedDatagram
+    if len(datagram) > MAX_DATAGRAM:
+        raise OversizedDatagram
+    if datagram[0] != VERSION_MAJOR:
+        raise UnknownVersion
+
+
+def _make_envelope(
+    kind: MessageKind,
+    fields: list[Any],
+    payload: bytes,
+) -> Envelope:
+    revision, service, count, turn, *fields = fields
+    caller, via, slots = fields
+    return Envelope(
+        kind,
+        service,
+        revision,
+        unpack_address(caller),
+        unpack_address(via),
+        _unpack_candidates(slots, count) if count else (),
+        turn,
+        payload,
+    )
+
+
+def _pack_candidates(candidates: tuple[Address, ...]) -> bytes:
+    packed = b''.join(map(pack_address, candidates))
+    return packed.ljust(MAX_CANDIDATES * PACKED_LENGTH, b'\0')
+
+
+def _unpack_candidates(slots: bytes, count: int) -> tuple[Address, ...]:
+    return tuple(
+        unpack_address(slots[start : start + PACKED_LENGTH])
+        for start in range(
+            0,
+            min(count, MAX_CANDIDATES) * PACKED_LENGTH,
+            PACKED_LENGTH,
+        )
+    )
