--- /dev/null
+++ b/experiments/flows.py
@@ -0,0 +1,82 @@
+"""Established flows of an agent, without sockets."""
+
+import ssl
+from contextlib import ExitStack
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, Final
+
+from aioquic.h3.connection import H3Connection
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ProtocolNegotiated
+
+from keelgap.addresses import Address
+from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
+from keelgap.wire.packets import CONNECTION_ID_LENGTH
+from keelgap_agent.quic import AgentQuicConnection, HandshakeIds
+from keelgap_standins.certificates import write_certificate
+
+__all__ = ('make_flows',)
+
+_ADDRESS: Final = Address('127.0.0.1', 1)
+_OWNER: Final = FlowOwner(Address('127.0.0.21', 7001), 1)
+
+
+def _make_server_configuration(directory: Path) -> QuicConfiguration:
+    write_certificate(directory, '127.0.0.1')
+    configuration = QuicConfiguration(
+        is_client=False,
+        alpn_protocols=['h3'],
+        connection_id_length=CONNECTION_ID_LENGTH,
+    )
+    configuration.load_cert_chain(
+        directory / 'certificate.pem',
+        directory / 'certificate.key',
+    )
+    return configuration
+
+
+def _connect(
+    client: QuicConnection,
+    server: AgentQuicConnection,
+) -> None:
+    for step in range(4):
+        now = step / 100
+        for datagram, _ in client.datagrams_to_send(now):
+            server.receive_datagram(datagram, _ADDRESS, now)
+        for datagram, _ in server.datagrams_to_send(now):
+            client.receive_datagram(datagram, _ADDRESS, now)
+
+
+def make_flows(count: int) -> list[Any]:
+    """Return the agent's side of so many established flows."""
+    codec = ConnectionIdCodec({1: bytes(16)}, 1)
+    kept = []
+    with ExitStack() as stack:
+        directory = Path(stack.enter_context(TemporaryDirectory()))
+        configuration = _make_server_configuration(directory)
+        for _ in range(count):
+            client = QuicConnection(
+                configuration=QuicConfiguration(
+                    alpn_protocols=['h3'],
+                    verify_mode=ssl.CERT_NONE,
+                ),
+            )
+            client.connect(_ADDRESS, 0)
+            ids = HandshakeIds(client.original_destination_connection_id, None)
+            server = AgentQuicConnection(configuration, ids, codec, _OWNER)
+            _connect(client, server)
+            kept.append((server, _make_http(server)))
+    return kept
+
+
+def _make_http(server: AgentQuicConnection) -> H3Connection | None:
+    event = server.next_event()
+    http = None
+    while event is not None:
+        if isinstance(event, ProtocolNegotiated):
+            http = H3Connection(server)
+        event = server.next_event()
+    assert http is not None
+    return http
--- a/packages/keelgap-balancer/src/keelgap_balancer/forwarding.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/forwarding.py
@@ -68,7 +68,7 @@
 ) -> Effects:
     if owner.service != event.service:
         raise ForeignService
-    if owner.agent not in state.published:
+    if not state.is_owner(owner.agent):
         raise UnknownOwner
     envelope = _encapsulate(state, event, ())
     if state.health.is_suspect(owner.agent):
@@ -170,7 +170,7 @@
 
 def _deliver_detour(state: BalancerState, event: EnvelopeReceived) -> Effects:
     agent = event.envelope.via
-    if agent not in state.published:
+    if not state.is_owner(agent):
         return (Drop(UnknownOwner.code),)
     forward = event.envelope._replace(
         kind=MessageKind.FORWARD,
--- a/packages/keelgap-balancer/src/keelgap_balancer/health.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/health.py
@@ -4,7 +4,7 @@
 never the instance list alone.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Sequence, Set
 
 from keelgap.addresses import Address
 from keelgap_balancer import defaults
@@ -70,6 +70,8 @@
     def __init__(self) -> None:
         """Start with nobody suspect."""
         self.agents: dict[Address, AgentHealth] = {}
+        #: Those of whom an answer is awaited; the timer looks at no others.
+        self.awaited: set[Address] = set()
         self.last_timer: float | None = None
         self.probes_left = defaults.PROBES_PER_SECOND
         self.probes_refilled = float('-inf')
@@ -79,10 +81,12 @@
         health = self.agents.get(agent)
         if health is not None:
             health.note_heard(now)
+            self.awaited.discard(agent)
 
     def expect_answer(self, agent: Address, now: float) -> None:
         """Record a datagram that the agent must answer."""
         self._get(agent, now).note_expecting(now)
+        self.awaited.add(agent)
 
     def take_probe(self, agent: Address, now: float) -> bool:
         """Return whether to probe an agent that takes datagrams of flows.
@@ -97,6 +101,7 @@
         if not self._take_probe_token(now):
             return False
         health.note_expecting(now)
+        self.awaited.add(agent)
         return True
 
     def is_suspect(self, agent: Address) -> bool:
@@ -109,8 +114,16 @@
         last = self.last_timer
         self.last_timer = now
         if last is not None and now - last > defaults.PAUSE_SECONDS:
-            for health in self.agents.values():
-                health.forgive_pause(now)
+            for agent in self.awaited:
+                self.agents[agent].forgive_pause(now)
+
+    def has_overdue(self, now: float) -> bool:
+        """Return whether an agent became silent for too long."""
+        return any(
+            self.agents[agent].is_overdue(now)
+            and not self.agents[agent].suspect
+            for agent in self.awaited
+        )
 
     def update_suspects(self, members: Sequence[Address], now: float) -> int:
         """Mark the silent upstreams of one service; return the new ones.
@@ -137,15 +150,17 @@
 
     def list_probes(self, now: float) -> Iterator[Address]:
         """Yield the suspects that are due for a probe, and note it."""
-        for agent, health in self.agents.items():
+        for agent in self.awaited:
+            health = self.agents[agent]
             if health.suspect and health.probe_at <= now:
                 health.note_probed(now)
                 yield agent
 
-    def keep_only(self, agents: frozenset[Address]) -> None:
+    def keep_only(self, agents: Set[Address]) -> None:
         """Forget agents that are no longer known."""
         for agent in self.agents.keys() - agents:
             self.agents.pop(agent)
+            self.awaited.discard(agent)
 
     def _get(self, agent: Address, now: float) -> AgentHealth:
         health = self.agents.get(agent)
--- a/packages/keelgap-balancer/src/keelgap_balancer/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/membership.py
@@ -2,8 +2,9 @@
 
 from xxhash import xxh3_64_intdigest
 
+from keelgap.addresses import Address
 from keelgap.routing.rendezvous import Weighted
-from keelgap.table import Service, Table, Upstream
+from keelgap.table import EMPTY_TABLE, Service, Table, Upstream
 from keelgap_balancer.defaults import OWNER_MEMORY_SECONDS
 from keelgap_balancer.effects import BalancerEffect, CloseService, OpenService
 from keelgap_balancer.events import InstancesChanged, TableChanged
@@ -19,12 +20,11 @@
     """Put a table in force, unless it is older than the one in force."""
     if event.table.version <= state.table.version:
         return ()
-    effects = _compare_services(state.table, event.table)
-    _remember_owners(state, event.now)
+    before = state.table
     state.table = event.table
-    _remember_owners(state, event.now)
-    _refresh_takers(state)
-    return effects
+    _update_owners(state, event.now)
+    _refresh_takers(state, before)
+    return _compare_services(before, event.table)
 
 
 def change_instances(
@@ -37,8 +37,8 @@
     state.instances = event.instances
     peers = event.instances.select_data('balancer', 'live')
     state.peers = tuple(sorted(peers - {state.address}))
-    _remember_owners(state, event.now)
-    _refresh_takers(state)
+    _update_owners(state, event.now)
+    _refresh_takers(state, state.table)
     return ()
 
 
@@ -63,34 +63,59 @@
     }
 
 
-def _remember_owners(state: BalancerState, now: float) -> None:
-    # A row may go before its last flow ends, and a balancer that joins later
-    # never saw it: the platform's list counts as published, too.
-    for instance in state.instances.instances:
-        if instance.role == 'agent':
-            state.published[instance.data] = now
-    for members in state.table.upstreams.values():
-        for upstream in members:
-            state.published[upstream.agent] = now
-    oldest = now - OWNER_MEMORY_SECONDS
-    state.published = {
-        agent: seen for agent, seen in state.published.items() if seen > oldest
+def _update_owners(state: BalancerState, now: float) -> None:
+    """Note who may own flows; those who depart stay owners for a day.
+
+    A row may go before its last flow ends, and a balancer that joins later
+    never saw it: the platform's list counts as published, too.
+    """
+    listed = (
+        instance.data
+        for instance in state.instances.instances
+        if instance.role == 'agent'
+    )
+    rows = (
+        upstream.agent
+        for members in state.table.upstreams.values()
+        for upstream in members
+    )
+    owners = frozenset((*listed, *rows))
+    until = now + OWNER_MEMORY_SECONDS
+    departed = {
+        agent: end for agent, end in state.departed.items() if end > now
     }
-    state.health.keep_only(frozenset(state.published))
+    departed.update(dict.fromkeys(state.owners - owners, until))
+    state.owners = owners
+    state.departed = departed
+    state.health.keep_only(owners | departed.keys())
 
 
-def _refresh_takers(state: BalancerState) -> None:
+def _refresh_takers(state: BalancerState, before: Table) -> None:
+    """Rank anew the services whose rows or leaving upstreams changed."""
     leaving = state.instances.select_data('agent', 'leaving')
+    if leaving != state.leaving:
+        before = EMPTY_TABLE
+    state.leaving = leaving
+    old = before.upstreams
     state.takers = {
-        number: tuple(
-            _make_ranked(upstream)
-            for upstream in members
-            if upstream.state == 'active' and upstream.agent not in leaving
-        )
+        number: state.takers[number]
+        if old.get(number) is members
+        else _rank_members(members, leaving)
         for number, members in state.table.upstreams.items()
     }
 
 
+def _rank_members(
+    members: tuple[Upstream, ...],
+    leaving: frozenset[Address],
+) -> tuple[RankedUpstream, ...]:
+    return tuple(
+        _make_ranked(upstream)
+        for upstream in members
+        if upstream.state == 'active' and upstream.agent not in leaving
+    )
+
+
 def _make_ranked(upstream: Upstream) -> RankedUpstream:
     seed = xxh3_64_intdigest(upstream.name.encode())
     return Weighted(seed, upstream.weight), upstream
--- a/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
@@ -43,13 +43,15 @@
 def _handle_timer(state: BalancerState, event: TimerFired) -> Effects:
     health = state.health
     health.check_pause(event.now)
-    newly = sum(
-        health.update_suspects(
-            [upstream.agent for upstream in members],
-            event.now,
+    newly = 0
+    if health.has_overdue(event.now):
+        newly = sum(
+            health.update_suspects(
+                [upstream.agent for upstream in members],
+                event.now,
+            )
+            for members in state.table.upstreams.values()
         )
-        for members in state.table.upstreams.values()
-    )
     probes = tuple(
         SendEnvelope(agent, make_message(state, MessageKind.PROBE))
         for agent in health.list_probes(event.now)
@@ -60,7 +62,7 @@
 def _handle_stop(state: BalancerState, event: StopRequested) -> Effects:
     state.stopping = True
     message = make_message(state, MessageKind.LEAVING)
-    return tuple(SendEnvelope(agent, message) for agent in state.published)
+    return tuple(SendEnvelope(agent, message) for agent in state.owners)
 
 
 _HANDLERS: Final = MappingProxyType[
--- a/packages/keelgap-balancer/src/keelgap_balancer/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/state.py
@@ -23,10 +23,18 @@
         self.instances: InstanceList = NO_INSTANCES
         #: Upstreams that may take new flows, by service number.
         self.takers: dict[int, tuple[RankedUpstream, ...]] = {}
-        #: When each agent address was last in a table; owners of flows.
-        self.published: dict[Address, float] = {}
+        #: Agents in the table or the list; each may own flows.
+        self.owners: frozenset[Address] = frozenset()
+        #: Agents that were published once, and until when they may own flows.
+        self.departed: dict[Address, float] = {}
+        #: Agents that the platform shows as leaving.
+        self.leaving: frozenset[Address] = frozenset()
         #: Other balancers that may deliver in our stead.
         self.peers: tuple[Address, ...] = ()
         self.health = HealthMap()
         self.stopping = False
         self.last_caller_datagram = float('-inf')
+
+    def is_owner(self, agent: Address) -> bool:
+        """Return whether an agent was published and may own flows."""
+        return agent in self.owners or agent in self.departed
--- a/packages/keelgap-standins/src/keelgap_standins/gossip.py
+++ b/packages/keelgap-standins/src/keelgap_standins/gossip.py
@@ -16,7 +16,7 @@
 from keelgap.addresses import Address
 from keelgap.control.messages import encode_message
 from keelgap.dissemination import defaults
-from keelgap.dissemination.driver import CHECKERS, INSTANCES_KEY
+from keelgap.dissemination.driver import INSTANCES_KEY, make_checkers
 from keelgap.dissemination.effects import (
     DisseminationEffect,
     PutInForce,
@@ -107,7 +107,8 @@
         """Start a process."""
         identity = DisseminationIdentity(control, zone, seeds)
         random = Random(self.random.getrandbits(32))
-        state = DisseminationState(identity, CHECKERS, random, self.now)
+        checkers = make_checkers()
+        state = DisseminationState(identity, checkers, random, self.now)
         process = Process(state)
         self.processes[control] = process
         self._call_later(
--- a/packages/keelgap/src/keelgap/dissemination/driver.py
+++ b/packages/keelgap/src/keelgap/dissemination/driver.py
@@ -1,7 +1,7 @@
 """The driver of dissemination: control channel, reader and timer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import AsyncExitStack
 from types import MappingProxyType
 from typing import Any
@@ -28,30 +28,41 @@
 from keelgap.dissemination.reducer import TABLE_KEY, reduce
 from keelgap.dissemination.source import DocumentReader
 from keelgap.dissemination.state import Checker, DisseminationState, Parsed
-from keelgap.instances import InstanceList, build_instances
+from keelgap.instances import InstanceList, InstanceLoader
 from keelgap.metrics import SharedMetrics
-from keelgap.table import Table, build_table
+from keelgap.table import Table, TableLoader
 
-__all__ = ('INSTANCES_KEY', 'CHECKERS', 'DisseminationDriver')
+__all__ = ('INSTANCES_KEY', 'DisseminationDriver', 'make_checkers')
 
 INSTANCES_KEY = 'instances'
 
 
-def check_table(document: Document) -> Table:
-    """Return the table of a document, or raise TableRefused."""
-    return build_table(document.decoded, document.version.digest)
+def make_table_checker() -> Checker:
+    """Return a checker that keeps what it knows of unchanged rows."""
+    loader = TableLoader()
 
+    def check_table(document: Document) -> Table:
+        return loader.load(document.decoded, document.version.digest)
 
-def check_instances(document: Document) -> InstanceList:
-    """Return the list of a document, or raise TableRefused."""
-    return build_instances(document.decoded)
+    return check_table
 
 
-#: What every process exchanges, and how it is checked.
-CHECKERS = MappingProxyType[str, Checker]({
-    TABLE_KEY: check_table,
-    INSTANCES_KEY: check_instances,
-})
+def make_instances_checker() -> Checker:
+    """Return a checker that keeps what it knows of unchanged rows."""
+    loader = InstanceLoader()
+
+    def check_instances(document: Document) -> InstanceList:
+        return loader.load(document.decoded)
+
+    return check_instances
+
+
+def make_checkers() -> Mapping[str, Checker]:
+    """Return what a process exchanges, and how each is checked."""
+    return MappingProxyType({
+        TABLE_KEY: make_table_checker(),
+        INSTANCES_KEY: make_instances_checker(),
+    })
 
 
 class DisseminationDriver:
--- a/packages/keelgap/src/keelgap/instances.py
+++ b/packages/keelgap/src/keelgap/instances.py
@@ -1,13 +1,20 @@
 """The platform's list of live and leaving instances; it lags."""
 
-from typing import Final, Literal, NamedTuple, NotRequired, TypedDict
+from typing import (
+    Any,
+    Final,
+    Literal,
+    NamedTuple,
+    NotRequired,
+    TypedDict,
+)
 
 import msgspec
 
 from keelgap.addresses import Address
 from keelgap.exceptions import Fault, TableRefused
 
-__all__ = ('NO_INSTANCES', 'Instance', 'InstanceList', 'build_instances')
+__all__ = ('NO_INSTANCES', 'Instance', 'InstanceList', 'InstanceLoader')
 
 Role = Literal['balancer', 'agent']
 InstanceState = Literal['live', 'leaving']
@@ -25,7 +32,8 @@
 
 class _InstanceDocument(TypedDict):
     revision: int
-    instances: list[_InstanceRow]
+    #: Each an _InstanceRow, checked when it is first seen.
+    instances: list[Any]
 
 
 class Instance(NamedTuple):
@@ -62,26 +70,43 @@
 NO_INSTANCES: Final = InstanceList(0, ())
 
 
-def build_instances(decoded: object) -> InstanceList:
-    """Return the list of a decoded document, or raise TableRefused."""
-    try:
-        document = msgspec.convert(decoded, _InstanceDocument)
-    except msgspec.ValidationError as error:
-        raise TableRefused((
-            Fault(
-                'keelgap.E016',
-                'instances',
-                str(error),
-                'the platform publishes this list; see docs/ref/table.md',
-            ),
-        )) from error
-    return InstanceList(
-        document['revision'],
-        tuple(_make_instance(row) for row in document['instances']),
-    )
-
-
-def _make_instance(row: _InstanceRow) -> Instance:
+class InstanceLoader:
+    """Turn one version of the list after the other into InstanceLists.
+
+    As in the table's loader, rows that are the same objects as in the version
+    before are not built again.
+    """
+
+    def __init__(self) -> None:
+        """Start without an earlier version."""
+        #: The last accepted rows; keeps their ids in use.
+        self.accepted: list[object] = []
+        self.built: dict[int, Instance] = {}
+
+    def load(self, decoded: object) -> InstanceList:
+        """Return the list of a decoded document, or raise TableRefused."""
+        try:
+            document = msgspec.convert(decoded, _InstanceDocument)
+            built = {
+                id(row): self.built.get(id(row)) or _make_instance(row)
+                for row in document['instances']
+            }
+        except msgspec.ValidationError as error:
+            raise TableRefused((
+                Fault(
+                    'keelgap.E016',
+                    'instances',
+                    str(error),
+                    'the platform publishes this list; see docs/ref/table.md',
+                ),
+            )) from error
+        self.built = built
+        self.accepted = document['instances']
+        return InstanceList(document['revision'], tuple(built.values()))
+
+
+def _make_instance(raw: object) -> Instance:
+    row = msgspec.convert(raw, _InstanceRow)
     return Instance(
         row['name'],
         row['role'],
--- a/packages/keelgap/src/keelgap/plane.py
+++ b/packages/keelgap/src/keelgap/plane.py
@@ -17,7 +17,7 @@
 )
 from keelgap.control.channel import ControlChannel
 from keelgap.control.messages import Delivery
-from keelgap.dissemination.driver import CHECKERS, DisseminationDriver
+from keelgap.dissemination.driver import DisseminationDriver, make_checkers
 from keelgap.dissemination.source import DocumentReader
 from keelgap.dissemination.state import (
     DisseminationIdentity,
@@ -104,7 +104,7 @@
     )
     # The clock of all events is the loop's.
     now = asyncio.get_running_loop().time()
-    state = DisseminationState(identity, CHECKERS, random, now)
+    state = DisseminationState(identity, make_checkers(), random, now)
 
     def hand_on(key: str, content: bytes) -> None:
         driver.note_document(key, content)
--- a/packages/keelgap/src/keelgap/table/__init__.py
+++ b/packages/keelgap/src/keelgap/table/__init__.py
@@ -1,6 +1,6 @@
 """The operators' table of services, traffic classes and upstreams."""
 
-from keelgap.table.loader import build_table, compute_digest, load_table
+from keelgap.table.loader import TableLoader, compute_digest, load_table
 from keelgap.table.models import (
     DEFAULT_CLASS,
     EMPTY_TABLE,
@@ -15,9 +15,9 @@
     'EMPTY_TABLE',
     'Service',
     'Table',
+    'TableLoader',
     'TrafficClass',
     'Upstream',
-    'build_table',
     'compute_digest',
     'load_table',
 )
--- a/packages/keelgap/src/keelgap/table/checks.py
+++ b/packages/keelgap/src/keelgap/table/checks.py
@@ -1,7 +1,7 @@
 """Checks of a table document; each fault names its row and column."""
 
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
 from keelgap.addresses import InvalidAddress, parse_address
@@ -67,8 +67,19 @@
 )
 
 
-def check_document(document: object) -> Iterator[Fault]:
-    """Yield every fault of a decoded table document."""
+def _is_never_checked(row: object) -> bool:
+    return False
+
+
+def check_document(
+    document: object,
+    is_checked: Callable[[object], bool] = _is_never_checked,
+) -> Iterator[Fault]:
+    """Yield every fault of a decoded table document.
+
+    Rows for which is_checked holds were found free of faults before; only
+    their relations to other rows are checked again.
+    """
     if not isinstance(document, dict):
         yield Fault(
             _MALFORMED,
@@ -81,7 +92,7 @@
     faults = [
         fault
         for section in _SECTIONS
-        for fault in _check_section(document, section)
+        for fault in _check_section(document, section, is_checked)
     ]
     yield from faults
     if not faults:
@@ -103,6 +114,7 @@
 def _check_section(
     document: dict[str, Any],
     section: _Section,
+    is_checked: Callable[[object], bool],
 ) -> Iterator[Fault]:
     rows = document.get(section.name)
     if rows is None and not section.required:
@@ -116,6 +128,8 @@
         )
         return
     for index, row in enumerate(rows):
+        if is_checked(row):
+            continue
         subject = f'{section.name}[{index}]'
         faults = list(check_columns(row, section.row_type, subject))
         yield from faults
--- a/packages/keelgap/src/keelgap/table/loader.py
+++ b/packages/keelgap/src/keelgap/table/loader.py
@@ -8,12 +8,19 @@
 from keelgap.addresses import parse_address
 from keelgap.exceptions import Fault, TableRefused
 from keelgap.table.checks import check_document
-from keelgap.table.models import Service, Table, TrafficClass, Upstream
+from keelgap.table.models import (
+    EMPTY_TABLE,
+    Service,
+    Table,
+    TrafficClass,
+    Upstream,
+)
 
-__all__ = ('MAX_DOCUMENT', 'build_table', 'compute_digest', 'load_table')
+__all__ = ('MAX_DOCUMENT', 'TableLoader', 'compute_digest', 'load_table')
 
 #: Longest value of the configuration service, in octets.
 MAX_DOCUMENT: Final = 1024 * 1024
+_UPSTREAMS: Final = 'upstreams'
 _DIGEST_LENGTH: Final = 16
 
 
@@ -27,30 +34,88 @@
 
     Raises TableRefused with every fault found.
     """
-    return build_table(_decode(document), compute_digest(document))
+    return TableLoader().load(_decode(document), compute_digest(document))
 
 
-def build_table(decoded: Any, digest: str) -> Table:
-    """Return the table of a decoded document, under its digest.
+class TableLoader:
+    """Turn one version of the table after the other into Tables.
 
-    Raises TableRefused with every fault found.
+    Rows that a delta left alone are the same objects as in the version before.
+    They are neither checked nor built again, so that a change costs little
+    more than the rows that it touches.
     """
-    faults = tuple(check_document(decoded))
-    if faults:
-        raise TableRefused(faults)
-    services = _make_services(decoded)
-    numbers = {service.name: service.number for service in services}
-    rows: dict[int, list[Upstream]] = {
-        number: [] for number in numbers.values()
-    }
-    for row in decoded['upstreams']:
-        rows[numbers[row['service']]].append(_make_upstream(row))
-    return Table(
-        decoded['revision'],
-        digest,
-        {service.number: service for service in services},
-        {number: tuple(members) for number, members in rows.items()},
-    )
+
+    def __init__(self) -> None:
+        """Start without an earlier version."""
+        #: The last accepted document; keeps the ids of its rows in use.
+        self.accepted: dict[str, Any] = {}
+        self.checked: frozenset[int] = frozenset()
+        self.built: dict[int, Upstream] = {}
+        self.table: Table = EMPTY_TABLE
+
+    def load(self, decoded: Any, digest: str) -> Table:
+        """Return the table of a decoded document, under its digest.
+
+        Raises TableRefused with every fault found.
+        """
+        faults = tuple(
+            check_document(decoded, lambda row: id(row) in self.checked),
+        )
+        if faults:
+            raise TableRefused(faults)
+        services = _make_services(decoded)
+        self.built = {
+            id(row): self.built.get(id(row)) or _make_upstream(row)
+            for row in decoded[_UPSTREAMS]
+        }
+        table = Table(
+            decoded['revision'],
+            digest,
+            {service.number: service for service in services},
+            self._group(decoded[_UPSTREAMS], services),
+        )
+        self._keep(decoded, table)
+        return table
+
+    def _group(
+        self,
+        rows: list[dict[str, Any]],
+        services: list[Service],
+    ) -> dict[int, tuple[Upstream, ...]]:
+        """Return rows by service, as the same tuples where nothing changed."""
+        members: dict[str, list[Upstream]] = {
+            service.name: [] for service in services
+        }
+        for row in rows:
+            members[row['service']].append(self.built[id(row)])
+        before = self.table.upstreams
+        return {
+            service.number: _reuse(
+                before.get(service.number, ()),
+                tuple(members[service.name]),
+            )
+            for service in services
+        }
+
+    def _keep(self, decoded: dict[str, Any], table: Table) -> None:
+        sections = ('services', 'classes', _UPSTREAMS)
+        self.accepted = decoded
+        self.table = table
+        self.checked = frozenset(
+            id(row)
+            for section in sections
+            for row in decoded.get(section) or ()
+        )
+
+
+def _reuse(
+    before: tuple[Upstream, ...],
+    after: tuple[Upstream, ...],
+) -> tuple[Upstream, ...]:
+    # Equal tuples are interchangeable; the old one tells that nothing moved.
+    if before == after:
+        return before
+    return after
 
 
 def _decode(document: bytes) -> Any:
