--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 JSON ?=
 SEED ?= 1
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format experiment experiments slopes fuzz
 
 setup: $(STAMP)
 
@@ -37,3 +37,18 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format packages tests experiments
+
+# One experiment: make experiment NAME=load SEED=1 (load, spread, forwarding).
+experiment: $(STAMP)
+	@$(BIN)/python -m experiments.$(NAME) --seed $(SEED)
+
+experiments: $(STAMP)
+	$(BIN)/python -m experiments.report --seed $(SEED)
+
+slopes: $(STAMP)
+	@$(BIN)/python -m experiments.slopes --seed $(SEED)
+
+# A longer run of the stateful tests: make fuzz SEED=7
+fuzz: $(STAMP)
+	KEELGAP_FUZZ=1 KEELGAP_SEED=$(SEED) $(BIN)/python -m unittest \
+		tests.agent.test_oracle tests.keelgap.test_oracle
