--- a/tests/agent/fakes.py
+++ b/tests/agent/fakes.py
@@ -206,6 +206,9 @@
         """Have the upstream end a request."""
         answer = StoredAnswer(status, (), f'run {request_id}'.encode())
         self.running.remove(request_id)
+        if kind is OutcomeKind.NOT_SENT:
+            # The upstream never saw it.
+            self.run_keys.remove(self.heads[request_id].key or '')
         outcome = Outcome(
             kind,
             answer if kind is OutcomeKind.ANSWERED else None,
