--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/keelgap packages/keelgap-balancer packages/keelgap-agent \
 	packages/keelgap-standins
-TOOLS := ruff wemake-python-styleguide mypy hypothesis matplotlib
+TOOLS := ruff wemake-python-styleguide mypy hypothesis approvaltests matplotlib
 JSON ?=
 SEED ?= 1
 
--- a/experiments/forwarding.py
+++ b/experiments/forwarding.py
@@ -35,6 +35,7 @@
 _BATCH: Final = 64
 _DATAGRAM: Final = 1200
 _SECONDS_TO_MICRO: Final = 1000000
+_PINGS: Final = 3000
 _MANY_FLOWS: Final = 100000
 
 
@@ -101,6 +102,7 @@
     def __init__(self, stack: ExitStack) -> None:
         sink = bind_datagram('sink', Address('127.0.0.1', 0))
         stack.callback(sink.close)
+        self.sink = sink
         self.agent = Address(*sink.getsockname())
         self.codec = ConnectionIdCodec({1: bytes(16)}, 1)
         self.stack = stack
@@ -236,6 +238,46 @@
     return _Rates(round(1 / cost), round(cost * _SECONDS_TO_MICRO, 2))
 
 
+async def _measure_latency(
+    target: Address,
+    sink: socket.socket,
+    datagram: bytes,
+) -> dict[str, float]:
+    """Return the time from sending a datagram until the sink has it."""
+    loop = asyncio.get_running_loop()
+    times = []
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for _ in range(_PINGS):
+            started = time.perf_counter()
+            sock.sendto(datagram, target)
+            await loop.sock_recv(sink, _DATAGRAM * 2)
+            times.append(time.perf_counter() - started)
+    times.sort()
+    return {
+        'p50_us': round(times[_PINGS // 2] * _SECONDS_TO_MICRO, 1),
+        'p99_us': round(times[_PINGS * 99 // 100] * _SECONDS_TO_MICRO, 1),
+    }
+
+
+async def measure_latencies(seed: int) -> dict[str, dict[str, float]]:
+    """Return latencies to a sink: direct, by a relay, by a balancer."""
+    loop = asyncio.get_running_loop()
+    with ExitStack() as stack:
+        bench = _Bench(stack)
+        packet = bench.make_packets(1)[0]
+        port = bench.listener.getsockname()
+        balancer = await _measure_latency(port, bench.sink, packet)
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Relay(bench.agent),
+            local_addr=('127.0.0.1', 0),
+        )
+        stack.callback(transport.close)
+        relay_port = transport.get_extra_info('sockname')
+        relay = await _measure_latency(relay_port, bench.sink, packet)
+        direct = await _measure_latency(bench.agent, bench.sink, packet)
+    return {'direct': direct, 'plain_relay': relay, 'balancer': balancer}
+
+
 async def measure(seed: int) -> dict[str, object]:
     """Return all figures of one run."""
     with ExitStack() as stack:
@@ -257,6 +299,7 @@
         'forward_to_plain_relay': round(one.per_second / plain.per_second, 3),
         'return_to_relay': round(back.per_second / relay.per_second, 3),
         'many_to_one_flow': round(many.per_second / one.per_second, 3),
+        'latency': await measure_latencies(seed),
         'decision_microseconds': measure_decisions(Random(seed)),
     }
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/health.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/health.py
@@ -150,11 +150,14 @@
 
     def list_probes(self, now: float) -> Iterator[Address]:
         """Yield the suspects that are due for a probe, and note it."""
-        for agent in self.awaited:
-            health = self.agents[agent]
-            if health.suspect and health.probe_at <= now:
-                health.note_probed(now)
-                yield agent
+        due = [
+            agent
+            for agent in self.awaited
+            if self.agents[agent].suspect and self.agents[agent].probe_at <= now
+        ]
+        for agent in sorted(due):
+            self.agents[agent].note_probed(now)
+            yield agent
 
     def keep_only(self, agents: Set[Address]) -> None:
         """Forget agents that are no longer known."""
--- a/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
@@ -62,7 +62,7 @@
 def _handle_stop(state: BalancerState, event: StopRequested) -> Effects:
     state.stopping = True
     message = make_message(state, MessageKind.LEAVING)
-    return tuple(SendEnvelope(agent, message) for agent in state.owners)
+    return tuple(SendEnvelope(agent, message) for agent in sorted(state.owners))
 
 
 _HANDLERS: Final = MappingProxyType[
--- a/packages/keelgap-standins/src/keelgap_standins/gossip.py
+++ b/packages/keelgap-standins/src/keelgap_standins/gossip.py
@@ -95,6 +95,8 @@
         self.reads = 0
         #: Pairs that cannot reach each other.
         self.cut: set[frozenset[Address]] = set()
+        #: Told of every event of a process, in golden sessions.
+        self.recorders: dict[Address, Any] = {}
         #: Changed by experiments: whether a message arrives.
         self.is_lost: Callable[[], bool] = self._is_lost
 
@@ -205,6 +207,9 @@
         process = self.processes[control]
         state, emitted = reduce(process.state, event)
         process.state = state
+        recorder = self.recorders.get(control)
+        if recorder is not None:
+            recorder.record(str(control), event, emitted)
         for effect in emitted:
             self._carry_out(control, process, effect)
 
--- a/tests/agent/fakes.py
+++ b/tests/agent/fakes.py
@@ -147,6 +147,8 @@
         self.run_keys: list[str] = []
         self.asks: dict[int, tuple[Agent, int]] = {}
         self.emitted: list[Any] = []
+        #: Told of every event, in golden sessions.
+        self.recorder: Any = None
 
     def feed(self, event: Any) -> tuple[Any, ...]:
         """Reduce an event and carry out what the fake knows."""
@@ -156,6 +158,8 @@
             return ()
         _, emitted = reduce(self.state, event)
         self.emitted.extend(emitted)
+        if self.recorder is not None:
+            self.recorder.record(self.name, event, emitted)
         for effect in emitted:
             self.carry_out(effect)
         return emitted
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions, which read like stories."""
