--- a/packages/keelgap-agent/src/keelgap_agent/request_effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/request_effects.py
@@ -1,6 +1,7 @@
 """Effects on requests: run, cancel, answer, refuse, ask a peer."""
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
@@ -42,6 +43,7 @@
                 self.exchanges[request_id],
                 effect.deadline_seconds,
                 self._choose_limit(effect),
+                self._make_head_observer(request_id),
             ),
         )
         self.runs[request_id] = run
@@ -126,6 +128,15 @@
         if request_id not in self.driver.state.requests:
             self.exchanges.pop(request_id, None)
 
+    def _make_head_observer(self, request_id: int) -> Callable[[], None]:
+        loop = self.driver.loop
+        histograms = self.driver.ports.metrics.histograms
+        request = self.driver.state.requests[request_id]
+        name = request.traffic_class.name
+        observer = histograms['first_byte_seconds'].labels(name)
+        started = loop.time()
+        return lambda: observer.observe(loop.time() - started)
+
     def _choose_limit(self, effect: effects.StartRequest) -> float | None:
         request = self.driver.state.requests[effect.request_id]
         if not request.traffic_class.takes_slot:
--- a/packages/keelgap-agent/src/keelgap_agent/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/server.py
@@ -133,7 +133,9 @@
         )
         tickets = TicketCodec(self.keys.mac, self.keys.mac_sign)
         random = Random()  # noqa: S311
-        return AgentState(identity, tickets, random)
+        state = AgentState(identity, tickets, random)
+        state.ledger.capacity = self.settings.limits.ledger_entries
+        return state
 
     def _make_flows(self) -> FlowTable:
         owner = FlowOwner(self.driver.state.identity.data, 0)
--- a/packages/keelgap-agent/src/keelgap_agent/upstream.py
+++ b/packages/keelgap-agent/src/keelgap_agent/upstream.py
@@ -84,15 +84,22 @@
         exchange: Exchange,
         deadline_seconds: float,
         limit_seconds: float | None,
+        on_head: Callable[[], None],
     ) -> Outcome:
         """Run a request to its end and stream the answer back.
 
         The limit bounds the whole run; None lets a long stream go on.
+        Calls on_head when the first octets of the answer are there.
         """
         keeper = AnswerKeeper()
         try:
             async with asyncio.timeout(limit_seconds):
-                await self._exchange(exchange, deadline_seconds, keeper)
+                await self._exchange(
+                    exchange,
+                    deadline_seconds,
+                    keeper,
+                    on_head,
+                )
         except aiohttp.ClientConnectorError:
             return Outcome(OutcomeKind.NOT_SENT)
         except (BodyCancelled, asyncio.CancelledError):
@@ -107,6 +114,7 @@
         exchange: Exchange,
         deadline_seconds: float,
         keeper: AnswerKeeper,
+        on_head: Callable[[], None],
     ) -> None:
         async with self.session.request(
             exchange.lines.method,
@@ -115,6 +123,7 @@
             data=self._choose_body(exchange),
             allow_redirects=False,
         ) as answer:
+            on_head()
             keeper.status = answer.status
             keeper.headers = strip_hop_headers(list(answer.raw_headers))
             exchange.send_head(answer.status, keeper.headers)
--- a/packages/keelgap/src/keelgap/metrics.py
+++ b/packages/keelgap/src/keelgap/metrics.py
@@ -35,9 +35,3 @@
             namespace=_PREFIX,
             registry=self.registry,
         )
-        self.refused_tables = Counter(
-            'refused_tables',
-            'Table documents that were refused whole.',
-            namespace=_PREFIX,
-            registry=self.registry,
-        )
