--- a/packages/keelgap-balancer/src/keelgap_balancer/main.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/main.py
@@ -11,6 +11,7 @@
 from keelgap_balancer.commands.example import Example
 from keelgap_balancer.commands.run import run
 from keelgap_balancer.commands.show import Show
+from keelgap_balancer.commands.split import split
 from keelgap_balancer.commands.status import status
 
 __all__ = ('Commands', 'main')
@@ -36,6 +37,11 @@
         """Print the revision in force at each ADMIN_ADDRESS, and who lags."""
         sys.exit(status(addresses, as_json=json))
 
+    @SetParseFn(str)
+    def split(self, table: str, directory: str, prefix: str = 'table') -> None:
+        """Split a long table into parts under 1 MiB and a manifest."""
+        sys.exit(split(table, directory, prefix))
+
     def version(self) -> str:
         """Print the version."""
         return VERSION
--- a/packages/keelgap/src/keelgap/control/channel.py
+++ b/packages/keelgap/src/keelgap/control/channel.py
@@ -31,7 +31,7 @@
 _HIGH_WATER: Final = 64
 #: Sockets to peers kept open; the least recently used is closed.
 _MAX_PEERS: Final = 64
-_MAX_FRAME: Final = 4 * 1024 * 1024
+_MAX_FRAME: Final = 8 * 1024 * 1024
 _ZAP_DOMAIN: Final = b'keelgap'
 
 
--- a/packages/keelgap/src/keelgap/control/messages.py
+++ b/packages/keelgap/src/keelgap/control/messages.py
@@ -38,8 +38,8 @@
 VERSION_MAJOR: Final = 1
 VERSION_MINOR: Final = 0
 _HEAD = struct.Struct(f'!BB{PACKED_LENGTH}s')
-#: Longest body taken, in octets: a document and some room.
-_MAX_BODY: Final = 2 * 1024 * 1024
+#: Longest body taken, in octets: a table of several parts, and some room.
+_MAX_BODY: Final = 8 * 1024 * 1024
 
 HeaderPairs = list[tuple[bytes, bytes]]
 
--- a/packages/keelgap/src/keelgap/dissemination/source.py
+++ b/packages/keelgap/src/keelgap/dissemination/source.py
@@ -8,22 +8,45 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Final, NamedTuple
 
 import aiohttp
 
 from keelgap.conf import ConfigServiceSettings
 from keelgap.table.loader import MAX_DOCUMENT
+from keelgap.table.parts import PartMismatch, join_parts, list_parts
 
 __all__ = ('DocumentReader', 'INDEX_HEADER')
 
 INDEX_HEADER: Final = 'X-Index'
+_READ_ERRORS: Final = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    PartMismatch,
+)
 _GRACE_SECONDS: Final = 5.0
 _BACKOFF_BASE_SECONDS: Final = 0.25
 _BACKOFF_MAX_SECONDS: Final = 5.0
 _MAX_STEPS: Final = 5
 
 
+class _Value(NamedTuple):
+    content: bytes
+    #: Value of the index header.
+    version: int
+
+
+async def _read_all(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body, cut one octet after the longest that is allowed."""
+    content = bytearray()
+    async for chunk in response.content.iter_any():
+        content.extend(chunk)
+        if len(content) > MAX_DOCUMENT:
+            break
+    return bytes(content[: MAX_DOCUMENT + 1])
+
+
 class DocumentReader:
     """Watch some keys of the service until cancelled."""
 
@@ -49,7 +72,7 @@
         while True:
             try:
                 index = await self._read(name, service_key, index)
-            except (aiohttp.ClientError, OSError, ValueError):
+            except _READ_ERRORS:
                 self.failures += 1
                 failed += 1
                 # The value may be an older one when the service is back.
@@ -60,6 +83,23 @@
 
     async def _read(self, name: str, service_key: str, index: int) -> int:
         wait = self.settings.wait_seconds
+        value = await self._get(service_key, index, wait)
+        if value.version != index:
+            self.on_document(name, await self._complete(value.content))
+        return value.version
+
+    async def _complete(self, content: bytes) -> bytes:
+        """Return a whole document, reading the parts that it names."""
+        parts = list_parts(content)
+        if not parts:
+            return content
+        values = {}
+        for part in parts:
+            value = await self._get(part['key'], 0, 0)  # noqa: WPS476
+            values[part['key']] = value.content
+        return join_parts(content, values)
+
+    async def _get(self, service_key: str, index: int, wait: float) -> _Value:
         base = self.settings.url.rstrip('/')
         self.reads += 1
         async with self.session.get(
@@ -68,11 +108,8 @@
             timeout=aiohttp.ClientTimeout(total=wait + _GRACE_SECONDS),
             raise_for_status=True,
         ) as response:
-            content = await response.content.read(MAX_DOCUMENT + 1)
-            newest = int(response.headers[INDEX_HEADER])
-        if newest != index:
-            self.on_document(name, content)
-        return newest
+            content = await _read_all(response)
+            return _Value(content, int(response.headers[INDEX_HEADER]))
 
     def _compute_pause(self, failed: int) -> float:
         pause = _BACKOFF_BASE_SECONDS * 2 ** min(failed, _MAX_STEPS)
--- a/packages/keelgap/src/keelgap/table/loader.py
+++ b/packages/keelgap/src/keelgap/table/loader.py
@@ -16,7 +16,13 @@
     Upstream,
 )
 
-__all__ = ('MAX_DOCUMENT', 'TableLoader', 'compute_digest', 'load_table')
+__all__ = (
+    'MAX_DOCUMENT',
+    'TableLoader',
+    'compute_digest',
+    'load_document_table',
+    'load_table',
+)
 
 #: Longest value of the configuration service, in octets.
 MAX_DOCUMENT: Final = 1024 * 1024
@@ -30,10 +36,24 @@
 
 
 def load_table(document: bytes) -> Table:
-    """Return the table that a JSON document holds.
+    """Return the table that one value of the service holds.
 
     Raises TableRefused with every fault found.
     """
+    if len(document) > MAX_DOCUMENT:
+        raise TableRefused((
+            Fault(
+                'keelgap.E015',
+                'table',
+                f'the document has {len(document)} octets',
+                f'keep it within {MAX_DOCUMENT}, or use `keelgap split`',
+            ),
+        ))
+    return load_document_table(document)
+
+
+def load_document_table(document: bytes) -> Table:
+    """Return the table of a document of any length, or refuse it."""
     return TableLoader().load(_decode(document), compute_digest(document))
 
 
@@ -119,15 +139,6 @@
 
 
 def _decode(document: bytes) -> Any:
-    if len(document) > MAX_DOCUMENT:
-        raise TableRefused((
-            Fault(
-                'keelgap.E015',
-                'table',
-                f'the document has {len(document)} octets',
-                f'keep it within {MAX_DOCUMENT}',
-            ),
-        ))
     try:
         return msgspec.json.decode(document)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
--- /dev/null
+++ b/packages/keelgap/src/keelgap/table/parts.py
@@ -0,0 +1,113 @@
+"""A table in several values, for services that bound the length of one.
+
+The manifest under the table's key names the parts and their digests; rows are
+spread over the parts.  Parts are written first, each under a key of its own
+for each revision, so that a manifest always finds what it names.
+"""
+
+from typing import Any, Final, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from keelgap.exceptions import KeelgapError
+from keelgap.table.loader import compute_digest
+
+__all__ = (
+    'PART_OCTETS',
+    'Part',
+    'PartMismatch',
+    'join_parts',
+    'list_parts',
+    'split_table',
+)
+
+#: Longest part that split_table makes; values may have up to 1 MiB.
+PART_OCTETS: Final = 900000
+_SECTIONS: Final = ('services', 'classes', 'upstreams')
+
+
+class PartMismatch(KeelgapError):
+    """A part is not the one that the manifest names."""
+
+    code = 'part_mismatch'
+
+
+class Part(TypedDict):
+    """Where a part is kept, and the digest of its octets."""
+
+    key: str
+    digest: str
+
+
+class _Manifest(TypedDict):
+    revision: int
+    parts: NotRequired[list[Part]]
+
+
+class SplitTable(NamedTuple):
+    """A manifest, and the values of its parts by key."""
+
+    manifest: bytes
+    parts: dict[str, bytes]
+
+
+def list_parts(content: bytes) -> list[Part]:
+    """Return the parts that a document names; none if it is whole."""
+    if b'"parts"' not in content:
+        return []
+    try:
+        manifest = msgspec.json.decode(content, type=_Manifest)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return []
+    return manifest.get('parts', [])
+
+
+def join_parts(manifest: bytes, values: dict[str, bytes]) -> bytes:
+    """Return the whole document; raises PartMismatch if a part is wrong."""
+    decoded = msgspec.json.decode(manifest, type=_Manifest)
+    whole: dict[str, Any] = {'revision': decoded['revision']}
+    for part in list_parts(manifest):
+        content = values.get(part['key'], b'')
+        if compute_digest(content) != part['digest']:
+            raise PartMismatch(part['key'])
+        try:
+            rows = msgspec.json.decode(content, type=dict[str, list[Any]])
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise PartMismatch(part['key']) from error
+        for section, members in rows.items():
+            whole.setdefault(section, []).extend(members)
+    return msgspec.json.encode(whole)
+
+
+def split_table(document: bytes, prefix: str) -> SplitTable:
+    """Split a table into parts that fit, under keys that start so."""
+    decoded = msgspec.json.decode(document, type=dict[str, Any])
+    revision = decoded['revision']
+    values = [msgspec.json.encode(rows) for rows in _group_rows(decoded)]
+    parts = {
+        f'{prefix}.{revision}.{index}': content
+        for index, content in enumerate(values)
+    }
+    manifest = _Manifest(
+        revision=revision,
+        parts=[
+            Part(key=key, digest=compute_digest(content))
+            for key, content in parts.items()
+        ],
+    )
+    return SplitTable(msgspec.json.encode(manifest), parts)
+
+
+def _group_rows(decoded: dict[str, Any]) -> list[dict[str, list[Any]]]:
+    """Return rows in groups of bounded length, in their order."""
+    groups: list[dict[str, list[Any]]] = [{}]
+    octets = 0
+    for section in _SECTIONS:
+        for row in decoded.get(section) or ():
+            length = len(msgspec.json.encode(row)) + 1
+            if octets + length > PART_OCTETS:
+                groups.append({})
+                octets = 0
+            octets += length
+            groups[-1].setdefault(section, []).append(row)
+    return groups
