--- a/tests/agent/machine.py
+++ b/tests/agent/machine.py
@@ -62,12 +62,14 @@
         self.retired: list[Agent] = []
         #: Requests started at each agent when its drain began.
         self.started_before: dict[int, int] = {}
+        for index in range(2):
+            self.take_ticket(index)
 
     @rule(index=which)
     def take_ticket(self, index: int) -> None:
         """A caller gets a ticket and makes a key of it."""
         agent = self.world.agents[index]
-        if index in self.world.paused or len(self.keys) > 12:
+        if index in self.world.paused or len(self.keys) > 4:
             return
         request_id = agent.request('/.well-known/keelgap/ticket')
         answer = agent.answers.get(request_id)
@@ -87,6 +89,15 @@
         request_id = agent.submit(key, portable=portable)
         self.attempts.append(Attempt(agent, request_id, key))
 
+    @precondition(lambda self: self.attempts)
+    @rule(index=which)
+    def retry(self, index: int) -> None:
+        """A caller sends its last request again through some agent."""
+        agent = self.world.agents[index]
+        if index not in self.world.paused:
+            key = self.attempts[-1].key
+            self.attempts.append(Attempt(agent, agent.submit(key), key))
+
     @rule(index=which)
     def browse(self, index: int) -> None:
         """Other requests compete for the slots."""
