--- a/packages/keelgap-balancer/src/keelgap_balancer/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/membership.py
@@ -46,6 +46,8 @@
     before: Table,
     after: Table,
 ) -> tuple[BalancerEffect, ...]:
+    if before.services == after.services:
+        return ()
     old = _index_listeners(before)
     new = _index_listeners(after)
     closed = sorted(old.keys() - new.keys())
--- a/packages/keelgap/src/keelgap/table/checks.py
+++ b/packages/keelgap/src/keelgap/table/checks.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Callable, Iterable, Iterator
+from operator import itemgetter
 from typing import Any, Final, NamedTuple
 
 from keelgap.addresses import InvalidAddress, parse_address
@@ -96,7 +97,7 @@
     ]
     yield from faults
     if not faults:
-        yield from _check_relations(document)
+        yield from _check_relations(document, is_checked)
 
 
 def _check_revision(revision: object) -> Iterator[Fault]:
@@ -149,19 +150,25 @@
             )
 
 
-def _check_relations(document: dict[str, Any]) -> Iterator[Fault]:
+def _check_relations(
+    document: dict[str, Any],
+    is_checked: Callable[[object], bool],
+) -> Iterator[Fault]:
     for unique in _UNIQUE:
         yield from _check_unique(document[unique.section], unique)
     names = {row['name'] for row in document['services']}
     yield from _check_references(document, names)
-    yield from _check_addresses(document[_UPSTREAMS])
+    yield from _check_addresses(document[_UPSTREAMS], is_checked)
     yield from _check_active(document[_UPSTREAMS], names)
 
 
 def _check_unique(
-    rows: Iterable[dict[str, Any]],
+    rows: list[dict[str, Any]],
     unique: _Unique,
 ) -> Iterator[Fault]:
+    # The common case first: it costs a tenth of the search for the row.
+    if len(set(map(itemgetter(unique.column), rows))) == len(rows):
+        return
     seen: set[object] = set()
     for index, row in enumerate(rows):
         cell = row[unique.column]
@@ -191,8 +198,13 @@
                 )
 
 
-def _check_addresses(rows: Iterable[dict[str, Any]]) -> Iterator[Fault]:
+def _check_addresses(
+    rows: Iterable[dict[str, Any]],
+    is_checked: Callable[[object], bool],
+) -> Iterator[Fault]:
     for index, row in enumerate(rows):
+        if is_checked(row):
+            continue
         try:
             parse_address(row['agent'])
         except InvalidAddress:
