--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -193,47 +193,53 @@
     return document, check, state
 
 
+def alternate(
+    versions: tuple[Document, Document],
+    put_in_force: Callable[[Document], object],
+) -> Callable[[], object]:
+    """Return a call that applies a delta to and fro, and puts it in force."""
+    before, after = versions
+    changes = {
+        before.version.revision: compute_changes(before, after),
+        after.version.revision: compute_changes(after, before),
+    }
+    held = [before]
+    put_in_force(before)
+
+    def act() -> None:
+        document = held.pop()
+        delta = changes[document.version.revision]
+        held.append(apply_changes(document, delta))
+        put_in_force(held[0])
+
+    return act
+
+
 def change_table(rows: int) -> Callable[[], object]:
     """Return a call that puts a change of one row in force."""
-    before = make_table(rows)
-    versions = (before, make_table(rows, changed=1))
-    changes = [
-        compute_changes(old, new) for old, new in (versions, versions[::-1])
-    ]
     check = make_table_checker()
     state = make_balancer(rows)
-    held = [before]
-    reduce(state, TableChanged(0, check(before)))
 
-    def act() -> None:
-        delta = changes[held[0].version.revision]
-        held[0] = apply_changes(held[0], delta)
+    def put_in_force(document: Document) -> None:
+        # The same two versions come again and again: let both pass.
         state.table = state.table._replace(revision=0)
-        reduce(state, TableChanged(0, check(held[0])))
+        reduce(state, TableChanged(0, check(document)))
 
-    return act
+    versions = (make_table(rows), make_table(rows, changed=1))
+    return alternate(versions, put_in_force)
 
 
 def change_list(instances: int) -> Callable[[], object]:
     """Return a call that puts a change of one instance in force."""
-    before = make_list(instances)
-    after = make_list(instances, changed=1)
-    changes = {
-        before.version.revision: compute_changes(before, after),
-        after.version.revision: compute_changes(after, before),
-    }
     check = make_instances_checker()
     state = make_balancer(1000)
-    held = [before]
-    reduce(state, InstancesChanged(0, check(before)))
 
-    def act() -> None:
-        delta = changes[held[0].version.revision]
-        held[0] = apply_changes(held[0], delta)
+    def put_in_force(document: Document) -> None:
         state.instances = state.instances._replace(revision=0)
-        reduce(state, InstancesChanged(0, check(held[0])))
+        reduce(state, InstancesChanged(0, check(document)))
 
-    return act
+    versions = (make_list(instances), make_list(instances, changed=1))
+    return alternate(versions, put_in_force)
 
 
 def tick_balancer(rows: int) -> Callable[[], object]:
--- a/packages/keelgap-agent/src/keelgap_agent/events.py
+++ b/packages/keelgap-agent/src/keelgap_agent/events.py
@@ -6,8 +6,12 @@
 from typing import NamedTuple
 
 from keelgap.addresses import Address
-from keelgap.instances import InstanceList
-from keelgap.table import Table
+from keelgap.events import (
+    InstancesChanged,
+    StopRequested,
+    TableChanged,
+    TimerFired,
+)
 from keelgap_agent.outcomes import Outcome, StoredAnswer
 from keelgap_agent.problems import Problem
 
@@ -125,32 +129,6 @@
     draining: bool
 
 
-class TableChanged(NamedTuple):
-    """A later table is in force."""
-
-    now: float
-    table: Table
-
-
-class InstancesChanged(NamedTuple):
-    """A later list of instances is known."""
-
-    now: float
-    instances: InstanceList
-
-
-class TimerFired(NamedTuple):
-    """The periodic timer of the driver fired."""
-
-    now: float
-
-
-class StopRequested(NamedTuple):
-    """The process was asked to stop in a planned way."""
-
-    now: float
-
-
 AgentEvent = (
     FlowOffered
     | FlowOpened
--- a/packages/keelgap-balancer/src/keelgap_balancer/events.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/events.py
@@ -3,8 +3,12 @@
 from typing import NamedTuple
 
 from keelgap.addresses import Address
-from keelgap.instances import InstanceList
-from keelgap.table import Table
+from keelgap.events import (
+    InstancesChanged,
+    StopRequested,
+    TableChanged,
+    TimerFired,
+)
 from keelgap.wire.encapsulation import Envelope
 
 __all__ = (
@@ -35,32 +39,6 @@
     envelope: Envelope
 
 
-class TableChanged(NamedTuple):
-    """A later table is in force."""
-
-    now: float
-    table: Table
-
-
-class InstancesChanged(NamedTuple):
-    """A later list of instances is known."""
-
-    now: float
-    instances: InstanceList
-
-
-class TimerFired(NamedTuple):
-    """The periodic timer of the driver fired."""
-
-    now: float
-
-
-class StopRequested(NamedTuple):
-    """The process was asked to stop in a planned way."""
-
-    now: float
-
-
 BalancerEvent = (
     CallerDatagram
     | EnvelopeReceived
--- a/packages/keelgap/src/keelgap/dissemination/events.py
+++ b/packages/keelgap/src/keelgap/dissemination/events.py
@@ -9,6 +9,7 @@
     Fetch,
     FullDocument,
 )
+from keelgap.events import TimerFired
 
 __all__ = (
     'DisseminationEvent',
@@ -47,10 +48,4 @@
     revision: int
 
 
-class TimerFired(NamedTuple):
-    """The periodic timer of the driver fired."""
-
-    now: float
-
-
 DisseminationEvent = DocumentRead | MessageReceived | RevisionSeen | TimerFired
