--- a/packages/keelgap-agent/src/keelgap_agent/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/admission.py
@@ -71,6 +71,7 @@
     request.moved = True
     request.phase = Phase.PASSED
     request.asked_at = now
+    state.asked[request.request_id] = request
     remaining = request.deadline_at - now
     ask = AskPeer(request.request_id, peer, True, remaining)
     return ask, Count('requests_passed_on')
--- a/packages/keelgap-agent/src/keelgap_agent/drain.py
+++ b/packages/keelgap-agent/src/keelgap_agent/drain.py
@@ -14,7 +14,7 @@
     TableChanged,
     UpstreamStateRead,
 )
-from keelgap_agent.state import AgentState
+from keelgap_agent.state import AgentState, LeaveCause
 
 __all__ = (
     'change_instances',
@@ -41,8 +41,8 @@
             own = (row for row in rows if row.agent == state.identity.data)
             state.row = next(own, None)
     row = state.row
-    state.leaving_by_table = row is not None and row.state == 'draining'
-    return _announce(state, event.now)
+    draining = row is not None and row.state == 'draining'
+    return _note_cause(state, LeaveCause.TABLE, draining, event.now)
 
 
 def change_instances(state: AgentState, event: InstancesChanged) -> Effects:
@@ -51,8 +51,8 @@
         return ()
     state.instances = event.instances
     leaving = event.instances.select_data('agent', 'leaving')
-    state.leaving_by_list = state.identity.data in leaving
-    return _announce(state, event.now)
+    listed = state.identity.data in leaving
+    return _note_cause(state, LeaveCause.LIST, listed, event.now)
 
 
 def read_upstream_state(
@@ -60,14 +60,26 @@
     event: UpstreamStateRead,
 ) -> Effects:
     """Believe the upstream when it says that it is leaving."""
-    state.leaving_by_upstream = event.draining
-    return _announce(state, event.now)
+    cause = LeaveCause.UPSTREAM
+    return _note_cause(state, cause, event.draining, event.now)
 
 
 def request_stop(state: AgentState, event: StopRequested) -> Effects:
     """Start a planned stop of this process."""
-    state.stopping = True
-    return _announce(state, event.now)
+    return _note_cause(state, LeaveCause.SIGNAL, True, event.now)
+
+
+def _note_cause(
+    state: AgentState,
+    cause: LeaveCause,
+    holds: bool,
+    now: float,
+) -> Effects:
+    if holds:
+        state.leave_causes.add(cause)
+    else:
+        state.leave_causes.discard(cause)
+    return _announce(state, now)
 
 
 def _announce(state: AgentState, now: float) -> Effects:
@@ -90,7 +102,8 @@
 
 def check_exit(state: AgentState, now: float) -> Effects:
     """Exit after a stop once nothing is left, with time for late retries."""
-    if not state.stopping or state.flows or state.requests:
+    stopping = LeaveCause.SIGNAL in state.leave_causes
+    if not stopping or state.flows or state.requests:
         state.idle_since = None
         return ()
     if state.idle_since is None:
--- a/packages/keelgap-agent/src/keelgap_agent/driver.py
+++ b/packages/keelgap-agent/src/keelgap_agent/driver.py
@@ -22,7 +22,7 @@
 )
 from keelgap_agent.reducer import reduce
 from keelgap_agent.request_effects import RequestEffects
-from keelgap_agent.state import AgentState
+from keelgap_agent.state import AgentState, LeaveCause
 from keelgap_agent.streams import CallerStream
 from keelgap_agent.upstream import UpstreamClient
 
@@ -126,7 +126,8 @@
     def note_upstream_state(self, draining: bool) -> None:
         """Take what the upstream says of itself."""
         now = self.loop.time()
-        if draining != self.state.leaving_by_upstream:
+        known = LeaveCause.UPSTREAM in self.state.leave_causes
+        if draining != known:
             self.dispatch(events.UpstreamStateRead(now, draining))
 
     def _map_handlers(self) -> MappingProxyType[type, Callable[[Any], None]]:
--- a/packages/keelgap-agent/src/keelgap_agent/keyed.py
+++ b/packages/keelgap-agent/src/keelgap_agent/keyed.py
@@ -165,6 +165,7 @@
     request.phase = Phase.ASKING
     request.issuer = issuer
     request.asked_at = now
+    state.asked[request.request_id] = request
     return _make_ask(request, issuer, now), Count('issuers_asked')
 
 
@@ -177,7 +178,7 @@
     """Repeat asks without an answer, and give up on the hopeless ones."""
     asking = [
         request
-        for request in state.requests.values()
+        for request in state.asked.values()
         if request.phase is Phase.ASKING
     ]
     effects: list[AgentEffect] = []
--- a/packages/keelgap-agent/src/keelgap_agent/requests.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests.py
@@ -225,6 +225,7 @@
         return _take_issuer_answer(state, request, event)
     if request.phase is not Phase.PASSED:
         return ()
+    state.asked.pop(event.request_id, None)
     return _take_runner_answer(state, request, event)
 
 
@@ -264,11 +265,12 @@
     """End requests whose runner is silent; it may have started them."""
     late = [
         request
-        for request in state.requests.values()
+        for request in state.asked.values()
         if request.phase is Phase.PASSED and _is_late(request, now)
     ]
     effects: list[AgentEffect] = []
     for request in late:
+        state.asked.pop(request.request_id, None)
         if request.safe and now < request.deadline_at:
             effects.extend(admit(state, request, now))
         else:
--- a/packages/keelgap-agent/src/keelgap_agent/settling.py
+++ b/packages/keelgap-agent/src/keelgap_agent/settling.py
@@ -36,7 +36,7 @@
     answer: AgentEffect,
 ) -> Effects:
     """Forget a request and emit its final answer, unless nobody waits."""
-    request = state.requests.pop(request_id, None)
+    request = _forget(state, request_id)
     if request is None or request.detached:
         return ()
     return (answer, *leave_flow(state, request))
@@ -44,12 +44,17 @@
 
 def settle_silently(state: AgentState, request_id: int) -> Effects:
     """Forget a request whose answer the driver sent, or nobody awaits."""
-    request = state.requests.pop(request_id, None)
+    request = _forget(state, request_id)
     if request is None or request.detached:
         return ()
     return leave_flow(state, request)
 
 
+def _forget(state: AgentState, request_id: int) -> Request | None:
+    state.asked.pop(request_id, None)
+    return state.requests.pop(request_id, None)
+
+
 def leave_flow(state: AgentState, request: Request) -> Effects:
     """Count a request out of its flow."""
     flow_id = request.flow_id
--- a/packages/keelgap-agent/src/keelgap_agent/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/state.py
@@ -18,7 +18,14 @@
 from keelgap_agent.ledger import Ledger, LedgerKey
 from keelgap_agent.tickets import TicketCodec
 
-__all__ = ('AgentIdentity', 'AgentState', 'Phase', 'Request', 'match_class')
+__all__ = (
+    'AgentIdentity',
+    'AgentState',
+    'LeaveCause',
+    'Phase',
+    'Request',
+    'match_class',
+)
 
 
 class AgentIdentity(NamedTuple):
@@ -34,6 +41,16 @@
     started: float
 
 
+class LeaveCause(Enum):
+    """Who said that this agent is leaving."""
+
+    TABLE = 'table'
+    LIST = 'list'
+    UPSTREAM = 'upstream'
+    #: SIGTERM; the only one that cannot be taken back.
+    SIGNAL = 'signal'
+
+
 class Phase(Enum):
     """Where a request stands."""
 
@@ -123,6 +140,9 @@
         self.service: Service | None = None
         self.row: Upstream | None = None
         self.requests: dict[int, Request] = {}
+        #: Those that another agent was asked about; the timer looks at no
+        #: others, because thousands of long streams may be open.
+        self.asked: dict[int, Request] = {}
         #: Waiting requests in the order in which they will start.
         self.queue: list[Request] = []
         #: Requests that hold a slot.
@@ -137,10 +157,8 @@
         self.refusals = 0
         self.failures = 0
         self.down_until = identity.started
-        self.leaving_by_table = False
-        self.leaving_by_list = False
-        self.leaving_by_upstream = False
-        self.stopping = False
+        #: Why this agent is leaving; empty if it is not.
+        self.leave_causes: set[LeaveCause] = set()
         #: Whether callers were told that this agent is leaving.
         self.announced = False
         self.idle_since: float | None = None
@@ -148,12 +166,7 @@
     @property
     def is_leaving(self) -> bool:
         """Return whether no new work may start here."""
-        return (
-            self.stopping
-            or self.leaving_by_table
-            or self.leaving_by_list
-            or self.leaving_by_upstream
-        )
+        return bool(self.leave_causes)
 
     def count_slots(self, now: float) -> int:
         """Return the slots in use now; they grow over the cold start."""
