--- a/packages/keelgap-balancer/src/keelgap_balancer/forwarding.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/forwarding.py
@@ -72,7 +72,7 @@
         raise UnknownOwner
     envelope = _encapsulate(state, event, ())
     if state.health.is_suspect(owner.agent):
-        return _detour(state, owner.agent, envelope)
+        return _detour(state, owner.agent, envelope, event.now)
     forward = SendEnvelope(owner.agent, envelope)
     if state.health.take_probe(owner.agent, event.now):
         probe = make_message(state, MessageKind.PROBE)
@@ -91,7 +91,7 @@
     first = candidates[0]
     envelope = _encapsulate(state, event, candidates)
     if state.health.is_suspect(first):
-        return _detour(state, first, envelope)
+        return _detour(state, first, envelope, event.now)
     state.health.expect_answer(first, event.now)
     return (SendEnvelope(first, envelope),)
 
@@ -133,15 +133,20 @@
     state: BalancerState,
     agent: Address,
     envelope: Envelope,
+    now: float,
 ) -> Effects:
-    """Send through one peer, which must deliver or drop: never a loop."""
+    """Send through one peer, which must deliver or drop: never a loop.
+
+    The peer may be cut off, too, so the choice changes with each second.
+    """
     if not state.peers:
         return (SendEnvelope(agent, envelope),)
     members = (
         (Weighted(xxh3_64_intdigest(pack_address(peer)), 1), peer)
         for peer in state.peers
     )
-    peer = rank(pack_address(agent), members, 1)[0]
+    key = b'%s%d' % (pack_address(agent), int(now))
+    peer = rank(key, members, 1)[0]
     detour = envelope._replace(
         kind=MessageKind.DETOUR,
         via=agent,
--- a/tests/balancer/test_forwarding.py
+++ b/tests/balancer/test_forwarding.py
@@ -286,6 +286,21 @@
         self.assertEqual(forward.envelope.via, owner)
         self.assertEqual(typed([counted]), [('Count', 'detours')])
 
+    def test_peers_take_turns(self) -> None:
+        """One that is cut off, too, does not swallow a flow for ever."""
+        owner = self.boards[0]
+        others = tuple(
+            Instance(str(host), 'balancer', host, host, 'zone-a', 'live')
+            for host in make_agents(3, 7)
+        )
+        self.feed(InstancesChanged(self.now, InstanceList(2, others)))
+        self.silence(owner)
+        receivers = set()
+        for _ in range(30):
+            self.now += 1
+            receivers.add(self.send(self.make_packet(owner))[0].receiver)
+        self.assertEqual(receivers, {other.data for other in others})
+
     def test_peer_delivers_and_never_detours_again(self) -> None:
         """Even if it suspects the owner, too: no loop."""
         owner = self.boards[0]
--- a/tests/site/cases.py
+++ b/tests/site/cases.py
@@ -4,9 +4,17 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from random import Random
-from unittest import IsolatedAsyncioTestCase
+from typing import Any
+from unittest import IsolatedAsyncioTestCase, mock
 
-from keelgap_standins.site import RunningAgent, ServiceSpec, Site
+from keelgap.wire.encapsulation import Envelope
+from keelgap.wire.exceptions import TruncatedDatagram
+from keelgap_standins.site import (
+    RunningAgent,
+    RunningBalancer,
+    ServiceSpec,
+    Site,
+)
 
 __all__ = ('BOARD', 'PROOF', 'SiteTestCase')
 
@@ -61,6 +69,29 @@
             if agent.server.driver.state.flows
         ]
 
+    def cut(self, balancer: RunningBalancer, agent: RunningAgent) -> None:
+        """Part a balancer from an agent on the data path, both ways."""
+        codec = balancer.server.driver.envelopes
+        parted = agent.server.driver.state.identity.data
+        seal, open_envelope = codec.seal, codec.open
+
+        def seal_unless_parted(envelope: Envelope, receiver: Any) -> bytes:
+            if tuple(receiver) == parted:
+                return b''
+            return seal(envelope, receiver)
+
+        def open_unless_parted(datagram: bytes, sender: Any) -> Envelope:
+            if tuple(sender) == parted:
+                raise TruncatedDatagram
+            return open_envelope(datagram, sender)
+
+        self.enterContext(
+            mock.patch.object(codec, 'seal', seal_unless_parted),
+        )
+        self.enterContext(
+            mock.patch.object(codec, 'open', open_unless_parted),
+        )
+
     def count_events(self, name: str) -> float:
         """Return a counter summed over all processes."""
         running = (*self.site.balancers.values(), *self.site.agents.values())
--- a/tests/site/test_faults.py
+++ b/tests/site/test_faults.py
@@ -68,6 +68,32 @@
             self.assertTrue(caller.was_reset)
         self.assertGreaterEqual(self.count_events('stateless_resets'), 1)
 
+    async def test_flow_goes_around_a_partition(self) -> None:
+        """Two balancers lose the owner, a third still reaches it."""
+        async with open_caller(self.site.public('board')) as caller:
+            await caller.request('GET', '/hello')
+            owner = self.find_agents_with_flows()[0]
+            for name in ('balancer-1', 'balancer-2'):
+                self.cut(self.site.balancers[name], owner)
+            self.site.config.away = True
+            self.assertEqual(await self.follow_feed(caller, 60), 60)
+            answer = await caller.request('GET', '/hello')
+        self.assertEqual(answer.status, 200)
+        self.assertGreater(self.count_events('detours'), 0)
+        self.assertGreater(self.count_events('detours_delivered'), 0)
+
+    async def test_new_flows_avoid_a_silent_agent(self) -> None:
+        """While the service is away and the list still shows it live."""
+        self.site.config.away = True
+        victim = self.site.agents['board-1']
+        await self.site.kill_agent('board-1')
+        for _ in range(12):
+            async with open_caller(self.site.public('board')) as caller:
+                answer = await caller.request('GET', '/hello')
+            self.assertEqual(answer.status, 200)
+        self.assertGreater(self.count_events('suspected'), 0)
+        self.assertEqual(victim.upstream.requests, 0)
+
     async def test_crowded_handshakes_are_validated_by_retry(self) -> None:
         """The Retry names the agent, so that the answer finds it."""
         for agent in self.site.agents.values():
