--- a/packages/keelgap-standins/src/keelgap_standins/demo.py
+++ b/packages/keelgap-standins/src/keelgap_standins/demo.py
@@ -16,7 +16,7 @@
 import fire
 import msgspec
 
-from keelgap.logs import configure_logs
+from keelgap.logs import logger
 from keelgap_standins.load import (
     Tally,
     run_feed,
@@ -206,7 +206,7 @@
 
 def main(*, json: bool = False, seed: int = 1) -> None:
     """Run the demo; exit 0 only if nothing broke."""
-    configure_logs('demo', 'demo')
+    logger.disable('keelgap')
     report = asyncio.run(asyncio.wait_for(run_demo(seed), _LONGEST_DEMO))
     if json:
         print(msgspec.json.encode(report).decode())  # noqa: WPS421
--- a/packages/keelgap/src/keelgap/dissemination/driver.py
+++ b/packages/keelgap/src/keelgap/dissemination/driver.py
@@ -15,6 +15,7 @@
     Count,
     PutInForce,
     Read,
+    ReportRefusal,
     SendMessage,
 )
 from keelgap.dissemination.events import (
@@ -29,6 +30,7 @@
 from keelgap.dissemination.source import DocumentReader
 from keelgap.dissemination.state import Checker, DisseminationState, Parsed
 from keelgap.instances import InstanceList, InstanceLoader
+from keelgap.logs import logger
 from keelgap.metrics import SharedMetrics
 from keelgap.table import Table, TableLoader
 
@@ -89,6 +91,7 @@
             Callable[[Any], None],
         ]({
             PutInForce: self._put_in_force,
+            ReportRefusal: self._report_refusal,
             SendMessage: self._send_message,
             Read: self._choose_reading,
             Count: self._count,
@@ -132,10 +135,25 @@
             self.effect_handlers[type(effect)](effect)
 
     def _put_in_force(self, effect: PutInForce) -> None:
+        version = effect.document.version
         if effect.key == TABLE_KEY:
-            revision = effect.document.version.revision
-            self.metrics.table_revision.set(revision)
+            self.metrics.table_revision.set(version.revision)
         self.on_change(effect.parsed)
+        logger.bind(
+            key=effect.key,
+            revision=version.revision,
+            digest=version.digest,
+        ).info('document_in_force')
+
+    def _report_refusal(self, effect: ReportRefusal) -> None:
+        refused = effect.refused
+        self.metrics.events.labels('refused_documents').inc()
+        logger.bind(
+            key=effect.key,
+            revision=refused.version.revision,
+            digest=refused.version.digest,
+            faults=[str(fault) for fault in refused.faults],
+        ).error('document_refused')
 
     def _send_message(self, effect: SendMessage) -> None:
         self.channel.send(effect.receiver, effect.message)
--- a/packages/keelgap/src/keelgap/dissemination/effects.py
+++ b/packages/keelgap/src/keelgap/dissemination/effects.py
@@ -5,13 +5,14 @@
 from keelgap.addresses import Address
 from keelgap.dissemination.documents import Document
 from keelgap.dissemination.events import DisseminationMessage
-from keelgap.dissemination.state import Parsed
+from keelgap.dissemination.state import Parsed, Refused
 
 __all__ = (
     'Count',
     'DisseminationEffect',
     'PutInForce',
     'Read',
+    'ReportRefusal',
     'SendMessage',
 )
 
@@ -24,6 +25,13 @@
     parsed: Parsed
 
 
+class ReportRefusal(NamedTuple):
+    """A document was refused whole; what was in force stays."""
+
+    key: str
+    refused: Refused
+
+
 class SendMessage(NamedTuple):
     """Send a message to another process."""
 
@@ -43,4 +51,4 @@
     name: str
 
 
-DisseminationEffect = PutInForce | SendMessage | Read | Count
+DisseminationEffect = PutInForce | ReportRefusal | SendMessage | Read | Count
--- a/packages/keelgap/src/keelgap/dissemination/reducer.py
+++ b/packages/keelgap/src/keelgap/dissemination/reducer.py
@@ -30,6 +30,7 @@
     DisseminationEffect,
     PutInForce,
     Read,
+    ReportRefusal,
     SendMessage,
 )
 from keelgap.dissemination.events import (
@@ -92,7 +93,7 @@
         parsed = state.checkers[key](document)
     except TableRefused as refusal:
         held.refused = Refused(document.version, now, refusal.faults)
-        return (Count('refused_documents'),)
+        return (ReportRefusal(key, held.refused),)
     before = held.document
     held.document = document
     held.parsed = parsed
