--- a/packages/keelgap-agent/src/keelgap_agent/connections.py
+++ b/packages/keelgap-agent/src/keelgap_agent/connections.py
@@ -32,6 +32,7 @@
     transmit: Callable[['CallerConnection'], None]
     next_request_id: Callable[[], int]
     on_id_retired: Callable[[bytes], None]
+    is_leaving: Callable[[], bool]
 
 
 class CallerConnection:
@@ -98,6 +99,7 @@
         return MappingProxyType({
             quic_events.ConnectionTerminated: self._terminate,
             quic_events.ProtocolNegotiated: self._agree_protocol,
+            quic_events.HandshakeCompleted: self._complete_handshake,
             quic_events.ConnectionIdRetired: self._retire_id,
             quic_events.StreamReset: self._break_off,
             quic_events.StopSendingReceived: self._break_off,
@@ -119,6 +121,13 @@
             self.forget,
         )
 
+    def _complete_handshake(
+        self,
+        event: quic_events.HandshakeCompleted,
+    ) -> None:
+        if self.hooks.is_leaving():
+            self.stop_new_requests()
+
     def _retire_id(self, event: quic_events.ConnectionIdRetired) -> None:
         self.ids.discard(event.connection_id)
         self.hooks.on_id_retired(event.connection_id)
--- a/packages/keelgap-agent/src/keelgap_agent/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/defaults.py
@@ -11,6 +11,7 @@
     'BODY_WAIT_SECONDS',
     'BUDGET_CAP',
     'BUDGET_SHARE',
+    'GOAWAY_SECONDS',
     'HANDOVER_MEMORY_SECONDS',
     'HANDSHAKES_BEFORE_RETRY',
     'INITIAL_SERVICE_SECONDS',
@@ -28,6 +29,10 @@
 #: Period of the driver's timer.
 TIMER_SECONDS: Final = 0.05
 
+#: How long idle flows stay open after GOAWAY, so that requests which were on
+#: their way are told that they were not processed.
+GOAWAY_SECONDS: Final = 1.0
+
 #: How long a choice to pass a handshake on is remembered; a handshake that
 #: takes longer has been given up by its caller (RFC 9000 idles at 30 s).
 HANDOVER_MEMORY_SECONDS: Final = 10.0
--- a/packages/keelgap-agent/src/keelgap_agent/drain.py
+++ b/packages/keelgap-agent/src/keelgap_agent/drain.py
@@ -4,7 +4,6 @@
 from keelgap_agent.admission import admit
 from keelgap_agent.effects import (
     AgentEffect,
-    EndFlow,
     Exit,
     StopNewRequests,
 )
@@ -84,19 +83,17 @@
 
 def _announce(state: AgentState, now: float) -> Effects:
     if not state.is_leaving:
-        state.announced = False
+        state.announced_at = None
         return ()
-    if state.announced:
+    if state.announced_at is not None:
         return ()
-    state.announced = True
+    state.announced_at = now
     # Those who wait may still find a place elsewhere: ask again for each.
     waiting = state.queue
     state.queue = []
     effects: list[AgentEffect] = [StopNewRequests()]
     for request in waiting:
         effects.extend(admit(state, request, now))
-    idle = [flow_id for flow_id, count in state.flows.items() if not count]
-    effects.extend(map(EndFlow, idle))
     return tuple(effects)
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/driver.py
+++ b/packages/keelgap-agent/src/keelgap_agent/driver.py
@@ -57,6 +57,7 @@
             self._transmit,
             lambda: next(self.request_ids),
             lambda connection_id: self.ports.flows.forget_id(connection_id),
+            lambda: self.state.is_leaving,
         )
         self.effect_handlers = self._map_handlers()
 
--- a/packages/keelgap-agent/src/keelgap_agent/flows.py
+++ b/packages/keelgap-agent/src/keelgap_agent/flows.py
@@ -20,7 +20,7 @@
 __all__ = (
     'accepts_service',
     'close_flow',
-    'end_idle_flow',
+    'end_idle_flows',
     'forget_handovers',
     'offer_flow',
     'open_flow',
@@ -89,14 +89,26 @@
 def close_flow(state: AgentState, event: FlowClosed) -> Effects:
     """Forget a flow that ended."""
     state.flows.pop(event.flow_id, None)
+    state.ended_flows.discard(event.flow_id)
     return (Count('flows_closed'),)
 
 
-def end_idle_flow(state: AgentState, flow_id: int) -> Effects:
-    """End a flow of a leaving agent once its last request has ended."""
-    if state.announced and state.flows.get(flow_id) == 0:
-        return (EndFlow(flow_id),)
-    return ()
+def end_idle_flows(state: AgentState, now: float) -> Effects:
+    """End the flows of a leaving agent that have no request left.
+
+    Not before callers had time to learn that it is leaving: a request that
+    was on its way when the flow is closed would be lost without a word.
+    """
+    announced_at = state.announced_at
+    if announced_at is None or now - announced_at < defaults.GOAWAY_SECONDS:
+        return ()
+    idle = [
+        flow_id
+        for flow_id, requests in state.flows.items()
+        if not requests and flow_id not in state.ended_flows
+    ]
+    state.ended_flows.update(idle)
+    return tuple(map(EndFlow, idle))
 
 
 def accepts_service(state: AgentState, number: int) -> bool:
--- a/packages/keelgap-agent/src/keelgap_agent/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/reducer.py
@@ -20,6 +20,7 @@
 from keelgap_agent.effects import AgentEffect
 from keelgap_agent.flows import (
     close_flow,
+    end_idle_flows,
     forget_handovers,
     offer_flow,
     open_flow,
@@ -51,15 +52,23 @@
 def _handle_timer(state: AgentState, event: events.TimerFired) -> Effects:
     forget_handovers(state, event.now)
     state.ledger.forget_expired(event.now)
-    return (
-        *drop_expired(state, event.now),
-        *start_waiting(state, event.now),
-        *ask_issuers_again(state, event.now),
-        *give_up_on_peers(state, event.now),
-        *check_exit(state, event.now),
+    return tuple(
+        effect
+        for decide in _TIMER_DECISIONS
+        for effect in decide(state, event.now)
     )
 
 
+#: What time alone may change, in this order.
+_TIMER_DECISIONS: Final = (
+    drop_expired,
+    start_waiting,
+    ask_issuers_again,
+    give_up_on_peers,
+    end_idle_flows,
+    check_exit,
+)
+
 _HANDLERS: Final = MappingProxyType[
     type,
     Callable[[AgentState, Any], Effects],
--- a/packages/keelgap-agent/src/keelgap_agent/requests.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests.py
@@ -103,14 +103,17 @@
         return ()
     if request.phase is Phase.WAITING or request.phase is Phase.ASKING:
         _stop_waiting(state, request)
-        return settle_silently(state, request.request_id)
+        settle_silently(state, request.request_id)
+        return ()
     if request.key is not None:
         return _cancel_keyed(state, request)
     if request.phase is Phase.RUNNING:
         request.detached = True
-        return (CancelRun(request.request_id), *leave_flow(state, request))
+        leave_flow(state, request)
+        return (CancelRun(request.request_id),)
     _leave_queue(state, request)
-    return settle_silently(state, request.request_id)
+    settle_silently(state, request.request_id)
+    return ()
 
 
 def _cancel_keyed(state: AgentState, request: Request) -> Effects:
@@ -119,12 +122,11 @@
     if request.phase is Phase.QUEUED and request.key and not waited_for:
         _leave_queue(state, request)
         state.ledger.bury(request.key, request.key_expires_at)
-        return (
-            Count('keyed_cancelled_before_start'),
-            *settle_silently(state, request.request_id),
-        )
+        settle_silently(state, request.request_id)
+        return (Count('keyed_cancelled_before_start'),)
     request.detached = True
-    return leave_flow(state, request)
+    leave_flow(state, request)
+    return ()
 
 
 def _leave_queue(state: AgentState, request: Request) -> None:
@@ -177,7 +179,8 @@
         passed = pass_to_peer(state, request, now)
         return passed or refuse(state, request, 'upstream_unreachable', 0)
     if outcome.kind is OutcomeKind.CANCELLED and request.key is None:
-        return settle_silently(state, request.request_id)
+        settle_silently(state, request.request_id)
+        return ()
     return _conclude_broken(state, request, 'broke_off')
 
 
@@ -186,22 +189,16 @@
     request: Request,
     answer: StoredAnswer | None,
 ) -> Effects:
+    settle_silently(state, request.request_id)
     if request.key is None or answer is None:
-        return settle_silently(state, request.request_id)
+        return ()
     service = state.service
     unavailable = answer.status == _UNAVAILABLE
     if unavailable and service and service.unavailable_means_not_run:
         # The caller has the upstream's own 503; this is for its retries.
-        answered = settle_silently(state, request.request_id)
-        return (
-            *answered,
-            *refuse(state, request, 'upstream_unavailable', 0),
-        )
+        return refuse(state, request, 'upstream_unavailable', 0)
     waiters = state.ledger.finish(request.key, EntryState.ANSWERED, answer)
-    return (
-        *settle_silently(state, request.request_id),
-        *answer_all(state, tuple(waiters), answer),
-    )
+    return answer_all(state, tuple(waiters), answer)
 
 
 def _conclude_broken(
--- a/packages/keelgap-agent/src/keelgap_agent/settling.py
+++ b/packages/keelgap-agent/src/keelgap_agent/settling.py
@@ -9,7 +9,6 @@
     Count,
     RefuseRequest,
 )
-from keelgap_agent.flows import end_idle_flow
 from keelgap_agent.ledger import EntryState
 from keelgap_agent.outcomes import StoredAnswer
 from keelgap_agent.problems import ANSWER_NOT_KEPT, NOT_RUN, Problem
@@ -39,15 +38,15 @@
     request = _forget(state, request_id)
     if request is None or request.detached:
         return ()
-    return (answer, *leave_flow(state, request))
+    leave_flow(state, request)
+    return (answer,)
 
 
-def settle_silently(state: AgentState, request_id: int) -> Effects:
+def settle_silently(state: AgentState, request_id: int) -> None:
     """Forget a request whose answer the driver sent, or nobody awaits."""
     request = _forget(state, request_id)
-    if request is None or request.detached:
-        return ()
-    return leave_flow(state, request)
+    if request is not None and not request.detached:
+        leave_flow(state, request)
 
 
 def _forget(state: AgentState, request_id: int) -> Request | None:
@@ -55,13 +54,10 @@
     return state.requests.pop(request_id, None)
 
 
-def leave_flow(state: AgentState, request: Request) -> Effects:
+def leave_flow(state: AgentState, request: Request) -> None:
     """Count a request out of its flow."""
-    flow_id = request.flow_id
-    if flow_id is None:
-        return ()
-    state.flows[flow_id] -= 1
-    return end_idle_flow(state, flow_id)
+    if request.flow_id is not None:
+        state.flows[request.flow_id] -= 1
 
 
 def refuse(
--- a/packages/keelgap-agent/src/keelgap_agent/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/state.py
@@ -159,8 +159,10 @@
         self.down_until = identity.started
         #: Why this agent is leaving; empty if it is not.
         self.leave_causes: set[LeaveCause] = set()
-        #: Whether callers were told that this agent is leaving.
-        self.announced = False
+        #: When callers were told that this agent is leaving.
+        self.announced_at: float | None = None
+        #: Flows that are being closed.
+        self.ended_flows: set[int] = set()
         self.idle_since: float | None = None
 
     @property
--- a/packages/keelgap-standins/src/keelgap_standins/load.py
+++ b/packages/keelgap-standins/src/keelgap_standins/load.py
@@ -37,9 +37,10 @@
         self.refused_keys: set[str] = set()
         self.reasons: Counter[str] = Counter()
 
-    def note_broken(self) -> None:
+    def note_broken(self, reason: object) -> None:
         """Count a flow that ended before its answer was whole."""
         self.counts['broken_flows'] += 1
+        self.reasons[f'broken: {reason!r}'] += 1
 
     def note_answer(self, service: str, answer: CallerAnswer) -> None:
         """Count an answer by what it says."""
@@ -64,12 +65,12 @@
             await act()
         except RequestRejected:
             tally.counts['rejected_and_retried'] += 1
-        except (FlowBroken, ConnectionError, TimeoutError):
-            tally.note_broken()
+        except (FlowBroken, ConnectionError, TimeoutError) as error:
+            tally.note_broken(error)
             return
         else:
             return
-    tally.note_broken()
+    tally.note_broken('rejected too often')
 
 
 async def run_short_requests(
@@ -103,8 +104,8 @@
         return await stack.enter_async_context(
             open_caller(site.public(service)),
         )
-    except (ConnectionError, TimeoutError):
-        tally.note_broken()
+    except (ConnectionError, TimeoutError) as error:
+        tally.note_broken(error)
         return None
 
 
@@ -133,8 +134,8 @@
         # The flow is being closed; the next flow asks again.
         tally.counts['requests'] -= 1
         tally.counts['rejected_and_retried'] += 1
-    except FlowBroken:
-        tally.note_broken()
+    except FlowBroken as error:
+        tally.note_broken(error)
 
 
 async def run_feed(
@@ -152,7 +153,7 @@
             answer = await caller.request('GET', path)
         tally.note_answer('board', answer)
         if answer.body.count(b'\n') != events:
-            tally.note_broken()
+            tally.note_broken('feed cut short')
 
     tally.counts['requests'] += 1
     await _try_until_processed(tally, act)
@@ -172,7 +173,7 @@
             answer = await caller.upload('/upload', size, pause)
         tally.note_answer('proof', answer)
         if answer.body != f'proof upload {size}'.encode():
-            tally.note_broken()
+            tally.note_broken('upload cut short')
 
     tally.counts['requests'] += 1
     await _try_until_processed(tally, act)
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -67,6 +67,7 @@
         self.recorder.tell('The upload ends, and with it the flow.')
         self.world.now += 60
         self.first.finish(upload)
+        self.world.pass_time(0.1)
         check(self.recorder)
 
     def test_issuer_lost(self) -> None:
@@ -93,6 +94,8 @@
         self.submit(key)
         self.first.finish(self.first.running[0])
         self.first.finish(self.first.running[0])
+        self.recorder.tell('The flow ends once its caller had time to know.')
+        self.world.pass_time(1.1)
         check(self.recorder)
 
     def test_overload_by_class(self) -> None:
