--- a/experiments/flows.py
+++ b/experiments/flows.py
@@ -1,6 +1,8 @@
 """Established flows of an agent, without sockets."""
 
 import ssl
+import time
+from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -40,19 +42,34 @@
 def _connect(
     client: QuicConnection,
     server: AgentQuicConnection,
-) -> None:
+) -> float:
+    """Shake hands; return the agent's processor time in seconds."""
+    spent = 0.0  # noqa: WPS358
     for step in range(4):
         now = step / 100
-        for datagram, _ in client.datagrams_to_send(now):
+        datagrams = client.datagrams_to_send(now)
+        started = time.process_time()
+        for datagram, _ in datagrams:
             server.receive_datagram(datagram, _ADDRESS, now)
-        for datagram, _ in server.datagrams_to_send(now):
-            client.receive_datagram(datagram, _ADDRESS, now)
+        answers = server.datagrams_to_send(now)
+        spent += time.process_time() - started
+        for answer, _ in answers:
+            client.receive_datagram(answer, _ADDRESS, now)
+    return spent
 
 
 def make_flows(count: int) -> list[Any]:
     """Return the agent's side of so many established flows."""
+    return [(server, _make_http(server)) for server, _ in _shake_hands(count)]
+
+
+def time_handshakes(count: int) -> float:
+    """Return the agent's processor time for so many handshakes."""
+    return sum(spent for _, spent in _shake_hands(count))
+
+
+def _shake_hands(count: int) -> Iterator[tuple[AgentQuicConnection, float]]:
     codec = ConnectionIdCodec({1: bytes(16)}, 1)
-    kept = []
     with ExitStack() as stack:
         directory = Path(stack.enter_context(TemporaryDirectory()))
         configuration = _make_server_configuration(directory)
@@ -66,9 +83,7 @@
             client.connect(_ADDRESS, 0)
             ids = HandshakeIds(client.original_destination_connection_id, None)
             server = AgentQuicConnection(configuration, ids, codec, _OWNER)
-            _connect(client, server)
-            kept.append((server, _make_http(server)))
-    return kept
+            yield server, _connect(client, server)
 
 
 def _make_http(server: AgentQuicConnection) -> H3Connection | None:
--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -18,6 +18,7 @@
 import msgspec
 import numpy as np
 
+from experiments.flows import make_flows, time_handshakes
 from experiments.spread import measure_size
 from keelgap.addresses import Address
 from keelgap.control.messages import encode_message
@@ -34,6 +35,8 @@
 from keelgap.dissemination.reducer import make_announce
 from keelgap.routing.connection_ids import ConnectionIdCodec
 from keelgap.wire.encapsulation import Envelope, EnvelopeCodec, MessageKind
+from keelgap_agent.ledger import EntryState, Ledger, LedgerKey
+from keelgap_agent.outcomes import StoredAnswer
 from keelgap_balancer.events import InstancesChanged, TableChanged, TimerFired
 from keelgap_balancer.reducer import reduce
 from keelgap_balancer.state import BalancerState
@@ -44,6 +47,7 @@
 _PEERS: Final = (1000, 4000, 8500, 17000)
 _PROCESSES: Final = (30, 100, 300, 900)
 _ZONES: Final = (3, 9, 21)
+_ENTRIES: Final = (1000, 10000, 50000)
 _FLOWS: Final = (50, 100, 200, 400)
 
 
@@ -275,11 +279,26 @@
 
 def measure_flows(sizes: tuple[int, ...]) -> Fit:
     """Fit the memory of established QUIC flows with HTTP/3 in an agent."""
-    from experiments.flows import make_flows
-
     return measure_memory(sizes, make_flows)
 
 
+def make_ledger(entries: int) -> Ledger:
+    """Return a ledger of answers with a short body."""
+    ledger = Ledger(entries)
+    for serial in range(entries):
+        key = LedgerKey(serial, bytes(8), f'{serial:016x}')
+        ledger.admit(key, float(serial))
+        body = f'{serial:0100}'.encode()
+        answer = StoredAnswer(200, ((b'content-type', b'text/plain'),), body)
+        ledger.finish(key, EntryState.ANSWERED, answer)
+    return ledger
+
+
+def measure_handshakes(sizes: tuple[int, ...]) -> Fit:
+    """Fit the agent's processor time of handshakes by their number."""
+    return fit([(float(size), time_handshakes(size)) for size in sizes])
+
+
 def measure_spread(seed: int) -> dict[str, Any]:
     """Return how octets, time and reads grow with the fleet."""
     by_size = [measure_size(seed, size, 0, 21) for size in _PROCESSES]
@@ -327,6 +346,8 @@
         ])._asdict(),
         'flow_memory': measure_flows(_FLOWS)._asdict(),
         'peer_memory': measure_memory(_PEERS, make_peers)._asdict(),
+        'ledger_memory': measure_objects(_ENTRIES, make_ledger)._asdict(),
+        'handshake_seconds': measure_handshakes(_FLOWS)._asdict(),
         'table_memory': measure_objects(
             _ROWS,
             hold_table,
