--- a/experiments/spread.py
+++ b/experiments/spread.py
@@ -11,8 +11,8 @@
 
 from keelgap.addresses import Address
 from keelgap.dissemination.events import RevisionSeen
-from keelgap.dissemination.reducer import TABLE_KEY
 from keelgap_standins.gossip import (
+    TABLE_KEY,
     GossipNet,
     make_table_document,
     start_net,
--- a/packages/keelgap-agent/src/keelgap_agent/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/server.py
@@ -9,7 +9,11 @@
 from aioquic.quic.configuration import QuicConfiguration
 
 from keelgap.addresses import Address
-from keelgap.admin import make_table_report, start_admin
+from keelgap.admin import (
+    make_status_report,
+    make_table_report,
+    start_admin,
+)
 from keelgap.control.messages import Answer, Ask, Delivery
 from keelgap.dissemination.state import Parsed
 from keelgap.exceptions import Fault, ImproperlyConfigured
@@ -93,7 +97,11 @@
         self._start_tasks(session, stack)
         await start_admin(
             Address(instance.address, listen.admin_port),
-            {'/table': self._report_table, '/flows': self.list_flows},
+            {
+                '/status': self._report_status,
+                '/table': self._report_table,
+                '/flows': self.list_flows,
+            },
             (self.metrics, self._refresh_gauges),
             lambda: self.driver.state.is_leaving,
             stack,
@@ -192,6 +200,13 @@
             )
             stack.callback(watch.cancel)
 
+    def _report_status(self) -> object:
+        return make_status_report(
+            self.settings.instance.name,
+            self.plane.dissemination.state,
+            self.loop.time(),
+        )
+
     def _report_table(self) -> object:
         return make_table_report(
             self.settings.instance.name,
--- a/packages/keelgap-balancer/src/keelgap_balancer/commands/status.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/commands/status.py
@@ -23,7 +23,7 @@
 
 def status(addresses: tuple[str, ...], *, as_json: bool) -> int:
     """Print a line for each process; exit 0 if all have the same table."""
-    readings = asyncio.run(read_all(addresses, '/table'))
+    readings = asyncio.run(read_all(addresses, '/status'))
     lines = _compare(readings)
     if as_json:
         print(msgspec.json.encode(lines).decode())  # noqa: WPS421
--- a/packages/keelgap-balancer/src/keelgap_balancer/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/server.py
@@ -5,7 +5,11 @@
 from typing import TypedDict
 
 from keelgap.addresses import Address
-from keelgap.admin import make_table_report, start_admin
+from keelgap.admin import (
+    make_status_report,
+    make_table_report,
+    start_admin,
+)
 from keelgap.control.messages import Delivery
 from keelgap.dissemination.state import Parsed
 from keelgap.keys import load_keys
@@ -76,7 +80,11 @@
         stack.callback(timer.cancel)
         await start_admin(
             Address(instance.address, listen.admin_port),
-            {'/table': self._report_table, '/upstreams': self.list_upstreams},
+            {
+                '/status': self._report_status,
+                '/table': self._report_table,
+                '/upstreams': self.list_upstreams,
+            },
             (self.metrics, lambda: None),
             lambda: self.driver.state.stopping,
             stack,
@@ -116,6 +124,13 @@
             for upstream in members
         ]
 
+    def _report_status(self) -> object:
+        return make_status_report(
+            self.settings.instance.name,
+            self.plane.dissemination.state,
+            self.loop.time(),
+        )
+
     def _report_table(self) -> object:
         return make_table_report(
             self.settings.instance.name,
--- a/packages/keelgap-standins/src/keelgap_standins/gossip.py
+++ b/packages/keelgap-standins/src/keelgap_standins/gossip.py
@@ -16,7 +16,7 @@
 from keelgap.addresses import Address
 from keelgap.control.messages import encode_message
 from keelgap.dissemination import defaults
-from keelgap.dissemination.driver import INSTANCES_KEY, make_checkers
+from keelgap.dissemination.driver import make_checkers
 from keelgap.dissemination.effects import (
     DisseminationEffect,
     PutInForce,
@@ -29,13 +29,16 @@
     MessageReceived,
     TimerFired,
 )
-from keelgap.dissemination.reducer import TABLE_KEY, reduce
+from keelgap.dissemination.reducer import reduce
 from keelgap.dissemination.state import (
     DisseminationIdentity,
     DisseminationState,
+    DocumentNames,
 )
 
 __all__ = (
+    'INSTANCES_KEY',
+    'TABLE_KEY',
     'GossipNet',
     'Process',
     'make_instances',
@@ -43,6 +46,8 @@
     'start_net',
 )
 
+_NAMES: Final = DocumentNames()
+TABLE_KEY, INSTANCES_KEY = _NAMES
 #: One way between availability zones, in seconds.
 _DELAY: Final = 0.0015
 _READ_DELAY: Final = 0.005
@@ -105,11 +110,12 @@
         control: Address,
         zone: str,
         seeds: tuple[Address, ...] = (),
+        names: DocumentNames = _NAMES,
     ) -> Process:
         """Start a process."""
-        identity = DisseminationIdentity(control, zone, seeds)
+        identity = DisseminationIdentity(control, zone, seeds, names)
         random = Random(self.random.getrandbits(32))
-        checkers = make_checkers()
+        checkers = make_checkers(identity.names)
         state = DisseminationState(identity, checkers, random, self.now)
         process = Process(state)
         self.processes[control] = process
@@ -126,7 +132,7 @@
         """Publish a document; watches of all readers return."""
         self.values[key] = msgspec.json.encode(value)
         for control, process in self.processes.items():
-            if process.state.reading:
+            if process.state.reading and key in process.state.held:
                 self._read(control, process, key)
 
     def switch_service(self, away: bool) -> None:
@@ -256,7 +262,7 @@
             self._call_later(_WAIT, self._renew, control, watch)
 
     def _read_all(self, control: Address, process: Process) -> None:
-        for key in self.values:
+        for key in sorted(self.values.keys() & process.state.held.keys()):
             self._read(control, process, key)
 
     def _read(self, control: Address, process: Process, key: str) -> None:
--- a/packages/keelgap/src/keelgap/admin.py
+++ b/packages/keelgap/src/keelgap/admin.py
@@ -16,7 +16,9 @@
 __all__ = (
     'AdminPage',
     'DocumentReport',
+    'StatusReport',
     'TableReport',
+    'make_status_report',
     'make_table_report',
     'start_admin',
 )
@@ -47,8 +49,8 @@
     refused: RefusedReport | None
 
 
-class TableReport(TypedDict):
-    """The read-back of one process."""
+class StatusReport(TypedDict):
+    """What is in force in one process, without rows."""
 
     name: str
     reading: bool
@@ -56,6 +58,11 @@
     joined: bool
     table: DocumentReport
     instances: DocumentReport
+
+
+class TableReport(StatusReport):
+    """The read-back of one process, with the rows in force."""
+
     content: dict[str, Any]
 
 
@@ -65,13 +72,26 @@
     now: float,
 ) -> TableReport:
     """Return the read-back: what this process really works with."""
+    held = state.held[state.identity.names.table]
     return TableReport(
+        **make_status_report(name, state, now),
+        content=held.document.decoded,
+    )
+
+
+def make_status_report(
+    name: str,
+    state: DisseminationState,
+    now: float,
+) -> StatusReport:
+    """Return the read-back without rows, short at any size of table."""
+    names = state.identity.names
+    return StatusReport(
         name=name,
         reading=state.reading,
         joined=state.joined,
-        table=_describe(state.held['table'], now),
-        instances=_describe(state.held['instances'], now),
-        content=state.held['table'].document.decoded,
+        table=_describe(state.held[names.table], now),
+        instances=_describe(state.held[names.instances], now),
     )
 
 
--- a/packages/keelgap/src/keelgap/dissemination/driver.py
+++ b/packages/keelgap/src/keelgap/dissemination/driver.py
@@ -26,17 +26,20 @@
     RevisionSeen,
     TimerFired,
 )
-from keelgap.dissemination.reducer import TABLE_KEY, reduce
+from keelgap.dissemination.reducer import reduce
 from keelgap.dissemination.source import DocumentReader
-from keelgap.dissemination.state import Checker, DisseminationState, Parsed
+from keelgap.dissemination.state import (
+    Checker,
+    DisseminationState,
+    DocumentNames,
+    Parsed,
+)
 from keelgap.instances import InstanceList, InstanceLoader
 from keelgap.logs import logger
 from keelgap.metrics import SharedMetrics
 from keelgap.table import Table, TableLoader
 
-__all__ = ('INSTANCES_KEY', 'DisseminationDriver', 'make_checkers')
-
-INSTANCES_KEY = 'instances'
+__all__ = ('DisseminationDriver', 'make_checkers')
 
 
 def make_table_checker() -> Checker:
@@ -59,11 +62,11 @@
     return check_instances
 
 
-def make_checkers() -> Mapping[str, Checker]:
+def make_checkers(names: DocumentNames) -> Mapping[str, Checker]:
     """Return what a process exchanges, and how each is checked."""
     return MappingProxyType({
-        TABLE_KEY: make_table_checker(),
-        INSTANCES_KEY: make_instances_checker(),
+        names.table: make_table_checker(),
+        names.instances: make_instances_checker(),
     })
 
 
@@ -114,7 +117,7 @@
 
     def note_revision(self, sender: Address, revision: int) -> None:
         """Take the table revision that another process's traffic carries."""
-        held = self.state.held[TABLE_KEY]
+        held = self.state.held[self.state.identity.names.table]
         if revision > held.document.version.revision:
             now = self.loop.time()
             self._dispatch(RevisionSeen(now, sender, revision))
@@ -136,7 +139,7 @@
 
     def _put_in_force(self, effect: PutInForce) -> None:
         version = effect.document.version
-        if effect.key == TABLE_KEY:
+        if effect.key == self.state.identity.names.table:
             self.metrics.table_revision.set(version.revision)
         self.on_change(effect.parsed)
         logger.bind(
@@ -161,14 +164,9 @@
     def _choose_reading(self, effect: Read) -> None:
         self._stop_watches()
         if effect.wanted:
-            settings = self.reader.settings
-            keys = (
-                (TABLE_KEY, settings.table_key),
-                (INSTANCES_KEY, settings.instances_key),
-            )
             self.watches = [
-                asyncio.create_task(self.reader.watch(name, service_key))
-                for name, service_key in keys
+                asyncio.create_task(self.reader.watch(key))
+                for key in self.state.identity.names
             ]
 
     def _stop_watches(self) -> None:
--- a/packages/keelgap/src/keelgap/dissemination/reducer.py
+++ b/packages/keelgap/src/keelgap/dissemination/reducer.py
@@ -45,13 +45,10 @@
 from keelgap.exceptions import TableRefused
 from keelgap.instances import InstanceList
 
-__all__ = ('TABLE_KEY', 'make_announce', 'reduce')
+__all__ = ('make_announce', 'reduce')
 
 Effects = tuple[DisseminationEffect, ...]
 
-#: Name under which processes exchange the table, whatever the service's key.
-TABLE_KEY: Final = 'table'
-
 
 def reduce(
     state: DisseminationState,
@@ -258,13 +255,14 @@
     It is a minimum revision that a trusted sender vouches for, as in the
     revision gate of "The write succeeded, then the old value came back".
     """
-    held = state.held[TABLE_KEY]
+    name = state.identity.names.table
+    held = state.held[name]
     if event.revision <= held.document.version.revision:
         return ()
     control = state.control_by_data.get(event.sender)
     if control is None:
         return ()
-    fetch = _fetch(state, TABLE_KEY, control, event.now)
+    fetch = _fetch(state, name, control, event.now)
     return (*fetch, Count('revisions_seen_ahead')) if fetch else ()
 
 
@@ -329,7 +327,8 @@
 
 def _join(state: DisseminationState, now: float) -> Effects:
     """Let a joiner work once it holds the highest version it heard of."""
-    if state.joined or not state.held[TABLE_KEY].document.content:
+    name = state.identity.names.table
+    if state.joined or not state.held[name].document.content:
         return ()
     waited = now - state.started >= defaults.JOIN_SECONDS
     asked = state.heard_peer_at is not None or not state.neighbours
--- a/packages/keelgap/src/keelgap/dissemination/source.py
+++ b/packages/keelgap/src/keelgap/dissemination/source.py
@@ -65,13 +65,13 @@
         self.reads = 0
         self.failures = 0
 
-    async def watch(self, name: str, service_key: str) -> None:
+    async def watch(self, key: str) -> None:
         """Read a key for ever; pause and try again when the read fails."""
         index = 0
         failed = 0
         while True:
             try:
-                index = await self._read(name, service_key, index)
+                index = await self._read(key, index)
             except _READ_ERRORS:
                 self.failures += 1
                 failed += 1
@@ -81,11 +81,11 @@
             else:
                 failed = 0
 
-    async def _read(self, name: str, service_key: str, index: int) -> int:
+    async def _read(self, key: str, index: int) -> int:
         wait = self.settings.wait_seconds
-        value = await self._get(service_key, index, wait)
+        value = await self._get(key, index, wait)
         if value.version != index:
-            self.on_document(name, await self._complete(value.content))
+            self.on_document(key, await self._complete(value.content))
         return value.version
 
     async def _complete(self, content: bytes) -> bytes:
@@ -99,11 +99,11 @@
             values[part['key']] = value.content
         return join_parts(content, values)
 
-    async def _get(self, service_key: str, index: int, wait: float) -> _Value:
+    async def _get(self, key: str, index: int, wait: float) -> _Value:
         base = self.settings.url.rstrip('/')
         self.reads += 1
         async with self.session.get(
-            f'{base}/v1/kv/{service_key}',
+            f'{base}/v1/kv/{key}',
             params={'index': str(index), 'wait': f'{wait}s'},
             timeout=aiohttp.ClientTimeout(total=wait + _GRACE_SECONDS),
             raise_for_status=True,
--- a/packages/keelgap/src/keelgap/dissemination/state.py
+++ b/packages/keelgap/src/keelgap/dissemination/state.py
@@ -17,6 +17,7 @@
     'Checker',
     'DisseminationIdentity',
     'DisseminationState',
+    'DocumentNames',
     'Held',
     'Parsed',
     'Refused',
@@ -28,6 +29,17 @@
 Checker = Callable[[Document], Parsed]
 
 
+class DocumentNames(NamedTuple):
+    """Names under which processes exchange documents.
+
+    They are the keys of the configuration service.  Processes with other
+    names, such as those of another region, do not mix.
+    """
+
+    table: str = 'table'
+    instances: str = 'instances'
+
+
 class DisseminationIdentity(NamedTuple):
     """Who this process is; fixed for its life."""
 
@@ -35,6 +47,7 @@
     availability_zone: str
     #: Control addresses to ask before any list of instances is known.
     seeds: tuple[Address, ...] = ()
+    names: DocumentNames = DocumentNames()
 
 
 class Refused(NamedTuple):
--- a/packages/keelgap/src/keelgap/plane.py
+++ b/packages/keelgap/src/keelgap/plane.py
@@ -22,6 +22,7 @@
 from keelgap.dissemination.state import (
     DisseminationIdentity,
     DisseminationState,
+    DocumentNames,
     Parsed,
 )
 from keelgap.exceptions import Fault, ImproperlyConfigured
@@ -101,10 +102,16 @@
         channel.address,
         settings.instance.availability_zone,
         _parse_seeds(settings.listen.seeds, channel.address),
+        DocumentNames(
+            settings.config_service.table_key,
+            settings.config_service.instances_key,
+        ),
     )
     # The clock of all events is the loop's.
     now = asyncio.get_running_loop().time()
-    state = DisseminationState(identity, make_checkers(), random, now)
+    state = DisseminationState(
+        identity, make_checkers(identity.names), random, now
+    )
 
     def hand_on(key: str, content: bytes) -> None:
         driver.note_document(key, content)
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -6,7 +6,6 @@
 from approvaltests.reporters import PythonNativeReporter
 
 from keelgap.addresses import Address
-from keelgap.dissemination.reducer import TABLE_KEY
 from keelgap.instances import Instance, InstanceList
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
 from keelgap.table import Table
@@ -24,7 +23,11 @@
 )
 from keelgap_balancer.reducer import reduce
 from keelgap_balancer.state import BalancerState
-from keelgap_standins.gossip import make_table_document, start_net
+from keelgap_standins.gossip import (
+    TABLE_KEY,
+    make_table_document,
+    start_net,
+)
 from tests.agent.fakes import World
 from tests.balancer.test_forwarding import BOARD, CALLER, PROOF, make_table
 from tests.golden.recorder import Recorder
--- a/tests/keelgap/machine.py
+++ b/tests/keelgap/machine.py
@@ -9,9 +9,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from keelgap.addresses import Address
-from keelgap.dissemination.driver import INSTANCES_KEY
-from keelgap.dissemination.reducer import TABLE_KEY
 from keelgap_standins.gossip import (
+    INSTANCES_KEY,
+    TABLE_KEY,
     GossipNet,
     Process,
     make_instances,
--- a/tests/keelgap/test_dissemination.py
+++ b/tests/keelgap/test_dissemination.py
@@ -6,9 +6,10 @@
 
 from keelgap.addresses import Address
 from keelgap.dissemination.defaults import READERS
-from keelgap.dissemination.driver import INSTANCES_KEY
-from keelgap.dissemination.reducer import TABLE_KEY
+from keelgap.dissemination.state import DocumentNames
 from keelgap_standins.gossip import (
+    INSTANCES_KEY,
+    TABLE_KEY,
     GossipNet,
     make_instances,
     make_table_document,
@@ -166,6 +167,23 @@
         self.assertEqual(len(digests), 1)
         self.check_monotone(net)
 
+    def test_regions_do_not_mix(self) -> None:
+        """A seed of another region is asked in vain, and does no harm."""
+        net = start_net(SEED, 6)
+        stranger = net.add(
+            Address('10.8.8.8', 7002),
+            'zone-9',
+            tuple(net.processes)[:2],
+            DocumentNames('table.east', 'instances.east'),
+        )
+        net.run(5)
+        self.assertEqual(stranger.in_force, [])
+        net.put('table.east', make_table_document(77))
+        net.run(5)
+        self.assertEqual(stranger.get_revision('table.east'), 77)
+        others = set(net.processes.values()) - {stranger}
+        self.assertEqual({one.get_revision() for one in others}, {1})
+
     def test_dead_readers_are_replaced_by_list_or_by_silence(self) -> None:
         """With its readers dead a fleet still learns of changes."""
         net = start_net(SEED, 9)
--- a/tests/keelgap/test_parts.py
+++ b/tests/keelgap/test_parts.py
@@ -65,9 +65,9 @@
                 session,
                 ConfigServiceSettings(f'http://{_HOST}:{_PORT}'),
                 Random(1),
-                lambda name, content: documents.append(content),
+                lambda key, content: documents.append(content),
             )
-            watch = asyncio.create_task(reader.watch('table', 'table'))
+            watch = asyncio.create_task(reader.watch('table'))
             stack.callback(watch.cancel)
             divided = split_table(make_table(20).content, 'table')
             for key in divided.parts:
