--- a/packages/keelgap-agent/src/keelgap_agent/connections.py
+++ b/packages/keelgap-agent/src/keelgap_agent/connections.py
@@ -48,6 +48,7 @@
         """Start before the handshake."""
         self.flow_id = flow_id
         self.quic = quic
+        #: Address that the flow was heard from last.
         self.caller = caller
         self.hooks = hooks
         #: Balancer through which the flow was heard last.
--- a/packages/keelgap-agent/src/keelgap_agent/flow_effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/flow_effects.py
@@ -34,7 +34,7 @@
         connection = flows.take(offer, self.driver.connection_hooks)
         now = self.driver.loop.time()
         self.driver.dispatch(events.FlowOpened(now, connection.flow_id))
-        flows.feed(connection, offer.envelope.payload, offer.via)
+        flows.feed(connection, offer.envelope, offer.via)
 
     def pass_flow(self, effect: effects.PassFlow) -> None:
         """Send the first datagram to the next candidate."""
--- a/packages/keelgap-agent/src/keelgap_agent/flow_table.py
+++ b/packages/keelgap-agent/src/keelgap_agent/flow_table.py
@@ -69,6 +69,8 @@
         self.return_path = ReturnPath()
         self.by_id: dict[bytes, CallerConnection] = {}
         self.flows: dict[int, CallerConnection] = {}
+        #: Flows whose handshake is not complete.
+        self.handshaking: set[int] = set()
         self.next_flow_id = 1
 
     def start(self, stack: ExitStack) -> None:
@@ -87,10 +89,7 @@
 
     def count_handshakes(self) -> int:
         """Return how many flows are not established yet."""
-        return sum(
-            not connection.quic.is_established
-            for connection in self.flows.values()
-        )
+        return len(self.handshaking)
 
     def take(self, offer: Offer, hooks: ConnectionHooks) -> CallerConnection:
         """Open a connection for an offer and feed it the first datagram."""
@@ -109,20 +108,29 @@
         )
         self.next_flow_id += 1
         self.flows[connection.flow_id] = connection
+        self.handshaking.add(connection.flow_id)
         self._register(connection, offer.header.destination_cid)
         return connection
 
     def feed(
         self,
         connection: CallerConnection,
-        datagram: bytes,
+        envelope: Envelope,
         via: Address,
     ) -> None:
-        """Hand a datagram to its connection and send what it answers."""
+        """Hand a datagram to its connection and send what it answers.
+
+        A caller's address may change, as behind a NAT (RFC 9000, 9.3); the
+        connection validates the new one before it relies on it.
+        """
         connection.via = via
+        connection.caller = envelope.caller
         now = self.loop.time()
-        connection.quic.receive_datagram(datagram, connection.caller, now)
+        quic = connection.quic
+        quic.receive_datagram(envelope.payload, envelope.caller, now)
         connection.process_events()
+        if quic.is_established:
+            self.handshaking.discard(connection.flow_id)
         connection.wake_senders()
         self.transmit(connection)
 
@@ -130,8 +138,8 @@
         """Send what a connection has to send and set its timer anew."""
         now = self.loop.time()
         via = self.return_path.choose(connection.via, now)
-        for datagram, _ in connection.quic.datagrams_to_send(now):
-            self.sender.send_to_caller(via, connection.caller, datagram)
+        for datagram, caller in connection.quic.datagrams_to_send(now):
+            self.sender.send_to_caller(via, caller, datagram)
         while connection.quic.issued:
             self._register(connection, connection.quic.issued.popleft())
         self._set_timer(connection)
@@ -145,6 +153,7 @@
         if connection.timer is not None:
             connection.timer.cancel()
         self.flows.pop(connection.flow_id, None)
+        self.handshaking.discard(connection.flow_id)
         for connection_id in connection.ids:
             self.by_id.pop(connection_id, None)
 
@@ -177,7 +186,7 @@
         header = parse_header(envelope.payload)
         connection = self.by_id.get(header.destination_id)
         if connection:
-            self.feed(connection, envelope.payload, via)
+            self.feed(connection, envelope, via)
         elif header.may_open_flow:
             self._offer(envelope, via)
         else:
--- a/packages/keelgap-agent/src/keelgap_agent/sender.py
+++ b/packages/keelgap-agent/src/keelgap_agent/sender.py
@@ -31,7 +31,7 @@
     def send_to_caller(
         self,
         via: Address,
-        caller: Address,
+        caller: tuple[str, int],
         datagram: bytes,
     ) -> None:
         """Return a datagram to a caller through a balancer."""
@@ -39,7 +39,7 @@
             MessageKind.RETURN,
             self.get_service(),
             self.get_revision(),
-            caller,
+            Address(*caller),
             payload=datagram,
         )
         self.send(via, envelope)
--- a/packages/keelgap-standins/src/keelgap_standins/caller.py
+++ b/packages/keelgap-standins/src/keelgap_standins/caller.py
@@ -1,6 +1,7 @@
 """Stand-in of a caller: an HTTP/3 client with retries for keyed requests."""
 
 import asyncio
+import socket
 import ssl
 from collections import deque
 from collections.abc import AsyncIterator, Mapping
@@ -188,6 +189,27 @@
                 self.transmit()
                 await asyncio.sleep(0.1)
 
+    @property
+    def port(self) -> int:
+        """Return the port that the caller sends from."""
+        assert self._transport is not None
+        number: int = self._transport.get_extra_info('sockname')[1]
+        return number
+
+    async def move(self) -> None:
+        """Go on from another port, as after a change of a NAT."""
+        loop = asyncio.get_running_loop()
+        old = self._transport
+        assert old is not None
+        family = old.get_extra_info('socket').family
+        host = '::' if family is socket.AF_INET6 else '127.0.0.1'
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host, 0),
+            family=family,
+        )
+        old.abort()
+
     async def get_ticket(self, headers: Mapping[str, str] = NO_HEADERS) -> str:
         """Return a ticket for requests that must run at most once."""
         answer = await self.request('GET', TICKET_PATH, headers=headers)
--- a/tests/site/test_faults.py
+++ b/tests/site/test_faults.py
@@ -94,6 +94,17 @@
         self.assertGreater(self.count_events('suspected'), 0)
         self.assertEqual(victim.upstream.requests, 0)
 
+    async def test_flow_survives_a_new_address_of_its_caller(self) -> None:
+        """A NAT may forget a caller and give it another port."""
+        async with open_caller(self.site.public('board')) as caller:
+            await caller.request('GET', '/hello')
+            before = caller.port
+            await caller.move()
+            self.assertNotEqual(caller.port, before)
+            answer = await caller.request('GET', '/hello')
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.count_events('flows_opened'), 1)
+
     async def test_crowded_handshakes_are_validated_by_retry(self) -> None:
         """The Retry names the agent, so that the answer finds it."""
         for agent in self.site.agents.values():
