--- a/packages/keelgap-agent/src/keelgap_agent/driver.py
+++ b/packages/keelgap-agent/src/keelgap_agent/driver.py
@@ -1,10 +1,10 @@
 """The agent's driver: events through the reducer, effects to the world."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import count
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from keelgap.addresses import Address
 from keelgap.control.channel import ControlChannel
@@ -26,7 +26,20 @@
 from keelgap_agent.streams import CallerStream
 from keelgap_agent.upstream import UpstreamClient
 
-__all__ = ('AgentDriver', 'AgentPorts')
+__all__ = ('AgentDriver', 'AgentPorts', 'count_requests')
+
+
+#: Room for the requests of one incarnation: a million a millisecond of life.
+_REQUEST_BITS: Final = 20
+
+
+def count_requests(incarnation: int) -> Iterator[int]:
+    """Return request ids that no earlier incarnation has used.
+
+    Peers answer by the id, and their answer to an earlier incarnation must
+    not reach a caller of this one.
+    """
+    return count((incarnation << _REQUEST_BITS) + 1)
 
 
 class AgentPorts(NamedTuple):
@@ -49,7 +62,7 @@
         self.exited = asyncio.Event()
         self.flow_effects = FlowEffects(self)
         self.request_effects = RequestEffects(self)
-        self.request_ids = count(1)
+        self.request_ids = count_requests(state.identity.incarnation)
         self.connection_hooks = ConnectionHooks(
             self._handle_request,
             self._handle_cancelled,
--- a/tests/agent/fakes.py
+++ b/tests/agent/fakes.py
@@ -7,6 +7,7 @@
 from keelgap.instances import Instance, InstanceList
 from keelgap.table import Service, Table, TrafficClass, Upstream
 from keelgap_agent import effects, events
+from keelgap_agent.driver import count_requests
 from keelgap_agent.outcomes import Outcome, OutcomeKind, StoredAnswer
 from keelgap_agent.problems import Problem
 from keelgap_agent.reducer import reduce
@@ -136,7 +137,7 @@
         )
         tickets = TicketCodec({1: bytes(32)}, 1)
         self.state = AgentState(identity, tickets, Random(index))
-        self.next_id = 1
+        self.request_ids = count_requests(world.incarnation)
         self.heads: dict[int, events.RequestHead] = {}
         #: Final answers by request: a StoredAnswer, a Problem or a ticket.
         self.answers: dict[int, Any] = {}
@@ -145,7 +146,8 @@
         self.started: list[int] = []
         #: Keys in the order in which the upstream got them.
         self.run_keys: list[str] = []
-        self.asks: dict[int, tuple[Agent, int]] = {}
+        #: Who asked for a request: control address, and its id there.
+        self.asks: dict[int, tuple[Address, int]] = {}
         self.emitted: list[Any] = []
         #: Told of every event, in golden sessions.
         self.recorder: Any = None
@@ -170,8 +172,7 @@
 
     def request(self, path: str = '/page', **head: Any) -> int:
         """Have a caller's request arrive; return its id."""
-        request_id = self.next_id
-        self.next_id += 1
+        request_id = next(self.request_ids)
         values = {
             'method': 'GET',
             'key': None,
@@ -255,20 +256,22 @@
         self.answers[request_id] = answer
         asked = self.asks.pop(request_id, None)
         if asked is not None:
-            asker, asked_id = asked
-            asker.take_answer(self, asked_id, answer)
+            address, asked_id = asked
+            asker = self.world.find(address)
+            if asker is not None:
+                asker.take_answer(self, asked_id, answer)
 
     def ask(self, effect: effects.AskPeer) -> None:
         """Deliver an ask, unless the network or the peer does not."""
         peer = self.world.find(effect.peer)
         if peer is None or self.is_cut_from(peer):
             return
-        if (self, effect.request_id) in peer.asks.values():
+        asked = (self.control, effect.request_id)
+        if asked in peer.asks.values():
             return
-        request_id = peer.next_id
-        peer.next_id += 1
+        request_id = next(peer.request_ids)
         peer.heads[request_id] = self.heads[effect.request_id]
-        peer.asks[request_id] = (self, effect.request_id)
+        peer.asks[request_id] = asked
         peer.feed(
             events.PeerAsked(
                 self.world.now,
--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -182,6 +182,22 @@
             self.assertEqual(get_kind(agent.answers[request_id]), 'answered')
         self.assertEqual(self.other.run_keys + self.agent.run_keys[2:], [key])
 
+    def test_answer_for_an_earlier_incarnation_is_not_taken(self) -> None:
+        """A restarted asker must not hand it to another caller."""
+        self.agent.request('/page?of=first')
+        self.world.restart(0)
+        restarted = self.world.agents[0]
+        restarted.open_flow()
+        for _ in range(2):
+            restarted.request(portable=False)
+        second = restarted.request('/page?of=second')
+        first_run = self.other.running[0]
+        self.assertEqual(self.other.heads[first_run].path, '/page?of=first')
+        self.other.finish(first_run)
+        self.assertNotIn(second, restarted.answers)
+        self.other.finish(self.other.running[0])
+        self.assertEqual(get_kind(restarted.answers[second]), 'answered')
+
     def test_unreachable_upstream_gets_no_new_work(self) -> None:
         """After three refused connections requests go elsewhere."""
         for running in tuple(self.agent.running):
--- a/tests/agent/test_at_most_once.py
+++ b/tests/agent/test_at_most_once.py
@@ -54,7 +54,8 @@
             (self.other, retry),
             (self.issuer, same),
         ):
-            self.assertEqual(agent.answers[request_id].body, b'run 2')
+            body = f'run {first}'.encode()
+            self.assertEqual(agent.answers[request_id].body, body)
         self.assertEqual(self.count_runs(), 1)
 
     def test_lost_answer_is_repeated_from_the_ledger(self) -> None:
