--- a/packages/keelgap-balancer/src/keelgap_balancer/health.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/health.py
@@ -128,14 +128,16 @@
     def update_suspects(self, members: Sequence[Address], now: float) -> int:
         """Mark the silent upstreams of one service; return the new ones.
 
-        Never more than MAX_SUSPECT_SHARE of them are suspect at once.
+        Never more than MAX_SUSPECT_SHARE of them are suspect at once, but
+        always one may be: suspects rank last and are never left out, so that
+        an only upstream is still asked, through a peer.
         """
         known = [
             health
             for health in map(self.agents.get, members)
             if health is not None
         ]
-        bound = int(len(members) * defaults.MAX_SUSPECT_SHARE)
+        bound = max(1, int(len(members) * defaults.MAX_SUSPECT_SHARE))
         room = bound - sum(health.suspect for health in known)
         silent = [
             health
--- a/packages/keelgap/src/keelgap/process.py
+++ b/packages/keelgap/src/keelgap/process.py
@@ -1,6 +1,7 @@
 """What a program does around its server: loop, signals, typed failures."""
 
 import asyncio
+import resource
 import signal
 import sys
 from collections.abc import Callable
@@ -36,8 +37,18 @@
     return EXIT_BAD_SETTINGS
 
 
+def _raise_file_limit() -> None:
+    """Allow as many sockets as the system lets this process have.
+
+    A balancer has one for each service, 7,800 at the size to design for.
+    """
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def run(make_server: Callable[[], Server]) -> int:
     """Run a server until SIGTERM or SIGINT; return the exit status."""
+    _raise_file_limit()
     try:
         uvloop.run(_run(make_server))
     except KeelgapError as error:
--- a/tests/balancer/test_forwarding.py
+++ b/tests/balancer/test_forwarding.py
@@ -251,6 +251,16 @@
         ]
         self.assertEqual(len(suspects), 2)
 
+    def test_only_upstream_is_asked_through_a_peer(self) -> None:
+        """A service of one upstream has a way around a cut, too."""
+        only = self.boards[:1]
+        self.feed(TableChanged(self.now, make_table(2, only)))
+        self.get_candidates()
+        self.pass_time(1.2)
+        detour = self.send(INITIAL)[0]
+        self.assertEqual(detour.receiver, PEER)
+        self.assertEqual(detour.envelope.candidates, tuple(only))
+
     def test_own_pause_is_not_taken_for_silence(self) -> None:
         """A balancer that slept 10 s suspects nobody when it wakes."""
         self.pass_time(0.1)
