--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,8 @@
 format: $(STAMP)
 	$(BIN)/ruff format packages tests experiments
 
-# One experiment: make experiment NAME=load SEED=1 (load, spread, forwarding).
+# One experiment: make experiment NAME=load SEED=1 (load, spread,
+# partition, retries, forwarding, upload).
 experiment: $(STAMP)
 	@$(BIN)/python -m experiments.$(NAME) --seed $(SEED)
 
--- a/experiments/report.py
+++ b/experiments/report.py
@@ -11,7 +11,7 @@
 import matplotlib as mpl
 import matplotlib.pyplot as plt
 
-from experiments import load, spread
+from experiments import load, partition, retries, spread
 
 _DOCS: Final = Path(__file__).parents[1] / 'docs' / 'topics'
 _HEAD: Final = """# Measurements
@@ -99,6 +99,12 @@
         make_rows(spreads['service_down']),
         '\nStale decisions with and without revisions on traffic:\n',
         make_rows(spreads['gate']),
+        f'\n## Partition (`make experiment NAME=partition SEED={seed}`)\n',
+        'One of three balancers loses one of four agents for 10 of 20 s.\n',
+        make_rows(partition.measure(seed)['rows']),
+        f'\n## Retries (`make experiment NAME=retries SEED={seed}`)\n',
+        'One answer in ten is lost, and an agent crashes now and then.\n',
+        make_rows(retries.measure(seed)['rows']),
         '',
     ]
     (_DOCS / 'measurements.md').write_text('\n'.join(parts), 'utf-8')
