--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -32,7 +32,7 @@
     make_instances_checker,
     make_table_checker,
 )
-from keelgap.dissemination.reducer import make_announce
+from keelgap.dissemination.acceptance import make_announce
 from keelgap.routing.connection_ids import ConnectionIdCodec
 from keelgap.wire.encapsulation import Envelope, EnvelopeCodec, MessageKind
 from keelgap_agent.ledger import EntryState, Ledger, LedgerKey
--- a/packages/keelgap/src/keelgap/dissemination/reducer.py
+++ b/packages/keelgap/src/keelgap/dissemination/reducer.py
@@ -17,12 +17,10 @@
     Fetch,
     FullDocument,
 )
-from keelgap.dissemination import defaults
+from keelgap.dissemination import acceptance, defaults
 from keelgap.dissemination.documents import (
-    Document,
     UnusableDocument,
     apply_changes,
-    compute_changes,
     load_document,
 )
 from keelgap.dissemination.effects import (
@@ -30,7 +28,6 @@
     DisseminationEffect,
     PutInForce,
     Read,
-    ReportRefusal,
     SendMessage,
 )
 from keelgap.dissemination.events import (
@@ -40,12 +37,9 @@
     RevisionSeen,
     TimerFired,
 )
-from keelgap.dissemination.neighbours import choose_neighbours, is_reader
-from keelgap.dissemination.state import DisseminationState, Refused
-from keelgap.exceptions import TableRefused
-from keelgap.instances import InstanceList
+from keelgap.dissemination.state import DisseminationState
 
-__all__ = ('make_announce', 'reduce')
+__all__ = ('reduce',)
 
 Effects = tuple[DisseminationEffect, ...]
 
@@ -58,75 +52,6 @@
     return state, _HANDLERS[type(event)](state, event)
 
 
-def make_announce(
-    state: DisseminationState,
-    *,
-    wants_reply: bool,
-) -> Announce:
-    """Return the versions that this process holds."""
-    versions = {key: held.document.version for key, held in state.held.items()}
-    return Announce(versions, wants_reply)
-
-
-def _take_read(state: DisseminationState, event: DocumentRead) -> Effects:
-    try:
-        document = load_document(event.content)
-    except UnusableDocument as error:
-        return (Count(error.code),)
-    return _take_document(state, event.key, document, event.now)
-
-
-def _take_document(
-    state: DisseminationState,
-    key: str,
-    document: Document,
-    now: float,
-) -> Effects:
-    """Accept a document whole or refuse it whole; never go back."""
-    held = state.held[key]
-    if document.version <= held.document.version:
-        return ()
-    try:
-        parsed = state.checkers[key](document)
-    except TableRefused as refusal:
-        held.refused = Refused(document.version, now, refusal.faults)
-        return (ReportRefusal(key, held.refused),)
-    before = held.document
-    held.document = document
-    held.parsed = parsed
-    held.since = now
-    held.highest_heard = max(held.highest_heard, document.version)
-    greetings: Effects = ()
-    if isinstance(parsed, InstanceList):
-        greetings = _take_instances(state, parsed)
-    pushes = _push(state, key, before, document)
-    if not state.joined:
-        return (*greetings, *pushes)
-    return (*pushes, PutInForce(key, document, parsed))
-
-
-def _push(
-    state: DisseminationState,
-    key: str,
-    before: Document,
-    after: Document,
-) -> Effects:
-    """Tell the neighbours: by a delta if it is short, else by version."""
-    message: Announce | DocumentDelta
-    message = make_announce(state, wants_reply=False)
-    if before.content:
-        delta = DocumentDelta(
-            key,
-            before.version,
-            after.version,
-            compute_changes(before, after),
-        )
-        state.held[key].history.append(delta)
-        if len(delta.changes) <= defaults.MAX_PUSHED:
-            message = delta
-    return tuple(SendMessage(peer, message) for peer in state.neighbours)
-
-
 def _take_message(
     state: DisseminationState,
     event: MessageReceived,
@@ -150,7 +75,7 @@
         if theirs > held.document.version:
             effects.extend(_fetch(state, key, event.sender, event.now))
     if message.wants_reply:
-        reply = make_announce(state, wants_reply=False)
+        reply = acceptance.make_announce(state, wants_reply=False)
         effects.append(SendMessage(event.sender, reply))
         effects.extend(_offer_deltas(state, event.sender, message))
     return tuple(effects)
@@ -221,9 +146,12 @@
 ) -> Effects:
     if message.key not in state.held:
         return (Count('unknown_key'),)
-    read = DocumentRead(event.now, message.key, message.content)
     state.held[message.key].fetched_at = float('-inf')
-    return _take_read(state, read)
+    try:
+        document = load_document(message.content)
+    except UnusableDocument as error:
+        return (Count(error.code),)
+    return acceptance.accept_document(state, message.key, document, event.now)
 
 
 def _take_delta(
@@ -246,7 +174,9 @@
     held.fetched_at = float('-inf')
     if document.version != message.target:
         return (Count('delta_mismatch'),)
-    return _take_document(state, message.key, document, event.now)
+    return acceptance.accept_document(
+        state, message.key, document, event.now, message
+    )
 
 
 def _take_revision(state: DisseminationState, event: RevisionSeen) -> Effects:
@@ -266,24 +196,6 @@
     return (*fetch, Count('revisions_seen_ahead')) if fetch else ()
 
 
-def _take_instances(
-    state: DisseminationState,
-    instances: InstanceList,
-) -> Effects:
-    """Choose neighbours anew; a joiner asks all of them what they hold."""
-    state.instances = instances
-    neighbours = choose_neighbours(state.identity, instances)
-    state.neighbours = neighbours or state.identity.seeds
-    state.chosen_reader = is_reader(state.identity, instances)
-    state.control_by_data = {
-        one.data: one.control for one in instances.instances
-    }
-    if state.joined or state.heard_peer_at is not None:
-        return ()
-    greeting = make_announce(state, wants_reply=True)
-    return tuple(SendMessage(peer, greeting) for peer in state.neighbours)
-
-
 def _handle_timer(state: DisseminationState, event: TimerFired) -> Effects:
     return (
         *_choose_reading(state, event.now),
@@ -311,7 +223,9 @@
     spread = state.random.uniform(*defaults.ANTI_ENTROPY_SPREAD)
     state.exchange_at = now + defaults.ANTI_ENTROPY_SECONDS * spread
     peer = state.random.choice(state.neighbours)
-    return (SendMessage(peer, make_announce(state, wants_reply=True)),)
+    return (
+        SendMessage(peer, acceptance.make_announce(state, wants_reply=True)),
+    )
 
 
 def _fetch_again(state: DisseminationState, now: float) -> Effects:
@@ -350,7 +264,7 @@
     type,
     Callable[[DisseminationState, Any], Effects],
 ]({
-    DocumentRead: _take_read,
+    DocumentRead: acceptance.take_read,
     MessageReceived: _take_message,
     RevisionSeen: _take_revision,
     TimerFired: _handle_timer,
--- a/tests/keelgap/test_dissemination.py
+++ b/tests/keelgap/test_dissemination.py
@@ -59,6 +59,13 @@
         net.run(5)
         self.assertEqual(net.count_behind(2), 0)
         self.check_monotone(net)
+        refused = [
+            one.state.held[TABLE_KEY].refused
+            for one in net.processes.values()
+            if one.state.reading
+        ]
+        faults = {one.faults[0].fault_id for one in refused if one}
+        self.assertEqual(faults, {'keelgap.E017'})
 
     def test_bad_table_is_refused_whole_and_the_last_good_one_stays(
         self,
--- a/tests/keelgap/test_oracle.py
+++ b/tests/keelgap/test_oracle.py
@@ -3,7 +3,7 @@
 from typing import Any
 from unittest import TestCase, mock
 
-from keelgap.dissemination import reducer
+from keelgap.dissemination import acceptance, reducer
 from keelgap.dissemination.effects import PutInForce
 from keelgap.table import loader
 from tests.fuzzing import run_machine
@@ -18,6 +18,7 @@
     key: str,
     document: Any,
     now: float,
+    delta: Any = None,
 ) -> tuple[Any, ...]:
     """Stand in for acceptance that does not compare versions."""
     held = state.held[key]
@@ -28,8 +29,8 @@
 
 DELIBERATE_FAULTS = {
     'a revision that may fall': (
-        reducer,
-        '_take_document',
+        acceptance,
+        'accept_document',
         accept_any_version,
     ),
     'a check that finds nothing': (
