--- a/packages/keelgap-standins/src/keelgap_standins/gossip.py
+++ b/packages/keelgap-standins/src/keelgap_standins/gossip.py
@@ -50,6 +50,8 @@
 TABLE_KEY, INSTANCES_KEY = _NAMES
 #: One way between availability zones, in seconds.
 _DELAY: Final = 0.0015
+#: Longest delay of a doubled message, in seconds.
+_LATEST: Final = 3.0
 _READ_DELAY: Final = 0.005
 _WAIT: Final = 30.0
 
@@ -91,6 +93,8 @@
         """Start at time 0 without a process."""
         self.random = Random(seed)
         self.loss = loss
+        #: Share of messages that come a second time, and late.
+        self.doubled = 0.0  # noqa: WPS358
         self.now = 0.0  # noqa: WPS358
         self.calls: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = count()
@@ -251,6 +255,9 @@
         event = MessageReceived(self.now, control, effect.message)
         delay = _DELAY * self.random.uniform(0.5, 1.5)
         self._call_later(delay, self._deliver, effect.receiver, event)
+        if self.doubled and self.random.random() < self.doubled:
+            late = self.random.uniform(0, _LATEST)
+            self._call_later(late, self._deliver, effect.receiver, event)
 
     def _is_lost(self) -> bool:
         return self.random.random() < self.loss
--- a/tests/keelgap/machine.py
+++ b/tests/keelgap/machine.py
@@ -111,6 +111,11 @@
         """The network loses messages."""
         self.net.loss = loss
 
+    @rule(share=st.sampled_from((0, 0.5)))
+    def double(self, share: float) -> None:
+        """The network doubles messages, and some come late."""
+        self.net.doubled = share
+
     @rule(seconds=st.sampled_from((0.05, 0.5, 3, 12)))
     def wait(self, seconds: float) -> None:
         """Time passes."""
@@ -140,6 +145,7 @@
         net = self.net
         net.cut.clear()
         net.loss = 0
+        net.doubled = 0
         for control, process in net.processes.items():
             if process.paused:
                 net.wake(control)
