--- a/packages/keelgap-standins/src/keelgap_standins/demo.py
+++ b/packages/keelgap-standins/src/keelgap_standins/demo.py
@@ -66,7 +66,7 @@
     flows: int
     broken_flows: int
     misrouted: int
-    #: Largest share of work of an upstream to the mean of its service.
+    #: Largest load of an upstream divided by the mean of its service.
     imbalance: float
     table_seconds_to_everywhere: float
     rejected_and_retried: int
@@ -178,13 +178,14 @@
 
 
 def _compute_imbalance(site: Site) -> float:
-    """Return max/mean of work an upstream, the worst of all services."""
+    """Return max/mean of the load of upstreams, the worst of all services."""
     by_service: dict[str, list[float]] = {}
     for agent in site.agents.values():
-        work = agent.upstream.busy_seconds
-        by_service.setdefault(agent.service, []).append(work)
+        loads = by_service.setdefault(agent.service, [])
+        loads.append(agent.upstream.load)
     return max(
-        max(work) * len(work) / (sum(work) or 1) for work in by_service.values()
+        max(loads) * len(loads) / (sum(loads) or 1)
+        for loads in by_service.values()
     )
 
 
--- a/packages/keelgap-standins/src/keelgap_standins/upstream.py
+++ b/packages/keelgap-standins/src/keelgap_standins/upstream.py
@@ -25,10 +25,17 @@
         #: How often each idempotency key was run.
         self.runs: Counter[str] = Counter()
         self.busy_seconds = 0.0  # noqa: WPS358
+        self.started = asyncio.get_running_loop().time()
         self.requests = 0
         self.running = 0
         self.most_running = 0
 
+    @property
+    def load(self) -> float:
+        """Return the mean of busy slots since the start."""
+        lived = asyncio.get_running_loop().time() - self.started
+        return self.busy_seconds / lived
+
     async def start(self, address: Address, stack: AsyncExitStack) -> None:
         """Serve until the stack closes."""
         app = web.Application(client_max_size=1 << 40)
