--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,12 @@
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check packages tests experiments
+	$(BIN)/ruff check packages tests experiments
 	$(BIN)/flake8 packages tests experiments
 	$(BIN)/mypy
 
 format: $(STAMP)
+	$(BIN)/ruff check --fix packages tests experiments
 	$(BIN)/ruff format packages tests experiments
 
 # One experiment: make experiment NAME=load SEED=1 (load, spread,
--- a/experiments/flows.py
+++ b/experiments/flows.py
@@ -12,6 +12,7 @@
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import ProtocolNegotiated
+
 from keelgap.addresses import Address
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
 from keelgap.wire.packets import CONNECTION_ID_LENGTH
--- a/experiments/forwarding.py
+++ b/experiments/forwarding.py
@@ -18,6 +18,8 @@
 import fire
 import msgspec
 import uvloop
+
+from experiments.tables import make_table
 from keelgap.addresses import Address
 from keelgap.metrics import SharedMetrics
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
@@ -29,8 +31,6 @@
 from keelgap_balancer.reducer import reduce
 from keelgap_balancer.state import BalancerState
 
-from experiments.tables import make_table
-
 _ROUNDS: Final = 30
 _BATCH: Final = 64
 _DATAGRAM: Final = 1200
--- a/experiments/partition.py
+++ b/experiments/partition.py
@@ -10,6 +10,8 @@
 
 import fire
 import msgspec
+
+from experiments.tables import make_table
 from keelgap.addresses import Address
 from keelgap.instances import Instance, InstanceList
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
@@ -25,8 +27,6 @@
 from keelgap_balancer.reducer import reduce
 from keelgap_balancer.state import BalancerState
 
-from experiments.tables import make_table
-
 _CALLER: Final = Address('10.0.0.1', 999)
 _AGENTS: Final = 4
 _STEP: Final = 0.01
--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -19,6 +19,9 @@
 import fire
 import msgspec
 import numpy as np
+
+from experiments.flows import make_flows, time_handshakes
+from experiments.spread import measure_size
 from keelgap.addresses import Address
 from keelgap.control.messages import DocumentDelta, encode_message
 from keelgap.dissemination.acceptance import make_announce
@@ -50,9 +53,6 @@
 from keelgap_balancer.state import BalancerState
 from keelgap_standins.gossip import start_net
 
-from experiments.flows import make_flows, time_handshakes
-from experiments.spread import measure_size
-
 _ROWS: Final = (1000, 4000, 8500, 17000)
 _ROWS_A_SERVICE: Final = 2.2
 _PEERS: Final = (1000, 4000, 8500, 17000)
--- a/experiments/spread.py
+++ b/experiments/spread.py
@@ -8,6 +8,7 @@
 
 import fire
 import msgspec
+
 from keelgap.addresses import Address
 from keelgap.dissemination.events import RevisionSeen
 from keelgap_standins.gossip import (
--- a/experiments/upload.py
+++ b/experiments/upload.py
@@ -12,10 +12,10 @@
 
 import fire
 import msgspec
-from keelgap_standins.caller import open_caller
-from keelgap_standins.site import ServiceSpec, Site
 
 from experiments.slopes import get_resident
+from keelgap_standins.caller import open_caller
+from keelgap_standins.site import ServiceSpec, Site
 
 _MEGA: Final = 1000000
 _SPEC: Final = ServiceSpec(
--- a/packages/keelgap-agent/src/keelgap_agent/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/admission.py
@@ -1,6 +1,7 @@
 """Slots, queue and shedding: when a request starts, if at all."""
 
 from bisect import insort
+
 from keelgap_agent import defaults
 from keelgap_agent.effects import (
     AgentEffect,
--- a/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/reducer.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+from keelgap.wire.encapsulation import MessageKind
 from keelgap_balancer.effects import BalancerEffect, Count, SendEnvelope
 from keelgap_balancer.events import (
     BalancerEvent,
@@ -25,7 +26,6 @@
 )
 from keelgap_balancer.membership import change_instances, change_table
 from keelgap_balancer.state import BalancerState
-from keelgap.wire.encapsulation import MessageKind
 
 __all__ = ('Effects', 'reduce')
 
--- a/packages/keelgap-standins/src/keelgap_standins/caller.py
+++ b/packages/keelgap-standins/src/keelgap_standins/caller.py
@@ -9,9 +9,9 @@
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
+from aioquic._buffer import Buffer  # noqa: WPS436
 from aioquic.asyncio.client import connect
 from aioquic.asyncio.protocol import QuicConnectionProtocol
-from aioquic._buffer import Buffer  # noqa: WPS436
 from aioquic.h3.connection import ErrorCode, FrameType, H3Connection
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
--- a/packages/keelgap-standins/src/keelgap_standins/site.py
+++ b/packages/keelgap-standins/src/keelgap_standins/site.py
@@ -27,9 +27,9 @@
 from keelgap_balancer.commands.example import make_keys
 from keelgap_balancer.conf import BalancerSettings, DrainSettings
 from keelgap_balancer.server import BalancerServer
+from keelgap_standins.certificates import write_certificate
 from keelgap_standins.config_service import ConfigService
 from keelgap_standins.fabric import Fabric
-from keelgap_standins.certificates import write_certificate
 from keelgap_standins.upstream import Upstream
 
 __all__ = ('RunningAgent', 'RunningBalancer', 'ServiceSpec', 'Site')
--- a/packages/keelgap-standins/src/keelgap_standins/upstream.py
+++ b/packages/keelgap-standins/src/keelgap_standins/upstream.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from contextlib import AsyncExitStack, suppress
 
-
 from aiohttp import web
 
 from keelgap.addresses import Address
--- a/tests/site/test_programs.py
+++ b/tests/site/test_programs.py
@@ -11,10 +11,10 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
+from keelgap.addresses import Address
 from keelgap_standins.caller import open_caller
 from keelgap_standins.site import ServiceSpec, Site
 from keelgap_standins.upstream import Upstream
-from keelgap.addresses import Address
 
 _BIN = Path(sys.executable).parent
 _ADDRESS_LINES = 'data_port = 7001\ncontrol_port = 7002\nadmin_port = 7003\n'
