--- a/packages/keelgap-agent/src/keelgap_agent/streams.py
+++ b/packages/keelgap-agent/src/keelgap_agent/streams.py
@@ -1,6 +1,7 @@
 """One request of a caller on its HTTP/3 stream."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -189,10 +190,12 @@
 
 
 def _read_number(text: bytes | None) -> float | None:
+    """Return a number of 0 or more; None for anything else, NaN too."""
     try:
-        return float(text) if text else None
+        number = float(text) if text else math.nan
     except ValueError:
         return None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _make_upstream_headers(headers: HeaderPairs) -> HeaderPairs:
--- a/tests/agent/test_quic.py
+++ b/tests/agent/test_quic.py
@@ -162,6 +162,19 @@
         port = StreamPort(1, quic, http, lambda: None, lambda _: None)
         self.stream = CallerStream(port, 0, 1, [(b':method', b'GET')])
 
+    async def test_odd_numbers_of_callers_count_as_none(self) -> None:
+        """A deadline that is no number would never pass."""
+        for text, expected in (
+            (b'nan', None),
+            (b'-1', None),
+            (b'inf', None),
+            (b'x', None),
+            (b'2.5', 2.5),
+        ):
+            headers = [(b':method', b'GET'), (b'keelgap-deadline', text)]
+            stream = CallerStream(self.stream.port, 0, 1, headers)
+            self.assertEqual(stream.head.deadline_seconds, expected)
+
     async def test_upstream_waits_while_too_much_is_unsent(self) -> None:
         """And goes on when the caller has made room."""
         sending = asyncio.create_task(self.stream.send_part(b'x'))
