--- a/Makefile
+++ b/Makefile
@@ -54,4 +54,5 @@
 # A longer run of the stateful tests: make fuzz SEED=7
 fuzz: $(STAMP)
 	KEELGAP_FUZZ=1 KEELGAP_SEED=$(SEED) $(BIN)/python -m unittest \
-		tests.agent.test_oracle tests.keelgap.test_oracle
+		tests.agent.test_oracle tests.balancer.test_oracle \
+		tests.keelgap.test_oracle
