--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -377,14 +377,8 @@
         'peer_memory': measure_memory(_PEERS, make_peers)._asdict(),
         'ledger_memory': measure_objects(_ENTRIES, make_ledger)._asdict(),
         'handshake_seconds': measure_handshakes(_FLOWS)._asdict(),
-        'table_memory': measure_objects(
-            _ROWS,
-            hold_table,
-        )._asdict(),
-        'list_memory': measure_objects(
-            _ROWS,
-            hold_list,
-        )._asdict(),
+        'table_memory': measure_objects(_ROWS, hold_table)._asdict(),
+        'list_memory': measure_objects(_ROWS, hold_list)._asdict(),
         'table_change_seconds': measure_time(_ROWS, change_table)._asdict(),
         'timer_seconds': measure_time(_ROWS, tick_balancer)._asdict(),
         'list_change_seconds': measure_time(_ROWS, change_list)._asdict(),
@@ -394,8 +388,6 @@
 
 def main(seed: int = 1) -> None:
     """Run the measurement."""
-    random = Random(seed)
-    random.random()
     print(msgspec.json.encode(measure(seed)).decode())
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/requests.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests.py
@@ -197,8 +197,20 @@
     if unavailable and service and service.unavailable_means_not_run:
         # The caller has the upstream's own 503; this is for its retries.
         return refuse(state, request, 'upstream_unavailable', 0)
-    waiters = state.ledger.finish(request.key, EntryState.ANSWERED, answer)
-    return answer_all(state, tuple(waiters), answer)
+    waiters = _finish_key(state, request, EntryState.ANSWERED, answer)
+    return answer_all(state, waiters, answer)
+
+
+def _finish_key(
+    state: AgentState,
+    request: Request,
+    entry_state: EntryState,
+    answer: StoredAnswer | None,
+) -> tuple[int, ...]:
+    """Record how a key ended; return the attempts that wait for it."""
+    if request.key is None:
+        return ()
+    return tuple(state.ledger.finish(request.key, entry_state, answer))
 
 
 def _conclude_broken(
@@ -206,9 +218,7 @@
     request: Request,
     reason: str,
 ) -> Effects:
-    waiters: list[int] = []
-    if request.key is not None:
-        waiters = state.ledger.finish(request.key, EntryState.BROKEN, None)
+    waiters = _finish_key(state, request, EntryState.BROKEN, None)
     problem = Problem(UPSTREAM_FAILED, reason)
     return refuse_all(state, (request.request_id, *waiters), problem)
 
@@ -248,13 +258,7 @@
         return admit(state, request, event.now)
     if event.answer is None:
         return _conclude_broken(state, request, 'peer_broke_off')
-    waiters: list[int] = []
-    if request.key is not None:
-        waiters = state.ledger.finish(
-            request.key,
-            EntryState.ANSWERED,
-            event.answer,
-        )
+    waiters = _finish_key(state, request, EntryState.ANSWERED, event.answer)
     return answer_all(state, (request.request_id, *waiters), event.answer)
 
 
--- a/packages/keelgap-standins/src/keelgap_standins/fabric.py
+++ b/packages/keelgap-standins/src/keelgap_standins/fabric.py
@@ -32,7 +32,6 @@
         #: Hosts of the balancers that get datagrams.
         self.balancers: list[str] = []
         self.callers: dict[tuple[int, tuple[str, int]], _CallerPort] = {}
-        self.sprayed = 0
 
     def open_service(self, port: int) -> Address:
         """Listen on the public address of a service."""
@@ -57,7 +56,6 @@
     ) -> Callable[[bytes, tuple[str, int]], None]:
         def spray(datagram: bytes, caller: tuple[str, int]) -> None:
             if self.balancers:
-                self.sprayed += 1
                 balancer = self.random.choice(self.balancers)
                 caller_port = self._get_port(port, caller, public)
                 send_datagram(caller_port.sock, datagram, (balancer, port))
--- a/packages/keelgap-standins/src/keelgap_standins/gossip.py
+++ b/packages/keelgap-standins/src/keelgap_standins/gossip.py
@@ -73,7 +73,6 @@
         self.state = state
         self.in_force: list[InForce] = []
         self.octets_sent = 0
-        self.messages_sent = 0
         self.paused = False
         self.waiting: list[DisseminationEvent] = []
         self.watch = 0
@@ -246,7 +245,6 @@
         process: Process,
         effect: SendMessage,
     ) -> None:
-        process.messages_sent += 1
         frames = encode_message(control, effect.message)
         process.octets_sent += sum(map(len, frames))
         pair = frozenset((control, effect.receiver))
--- a/packages/keelgap-standins/src/keelgap_standins/load.py
+++ b/packages/keelgap-standins/src/keelgap_standins/load.py
@@ -33,8 +33,6 @@
     def __init__(self) -> None:
         """Start at zero."""
         self.counts: Counter[str] = Counter()
-        self.run_keys: set[str] = set()
-        self.refused_keys: set[str] = set()
         self.reasons: Counter[str] = Counter()
 
     def note_broken(self, reason: object) -> None:
--- a/packages/keelgap/src/keelgap/control/channel.py
+++ b/packages/keelgap/src/keelgap/control/channel.py
@@ -61,8 +61,6 @@
         self.keys = keys
         self.on_delivery = on_delivery
         self.on_drop = on_drop
-        self.octets_sent = 0
-        self.octets_received = 0
         self.context = zmq_asyncio.Context()
         # Senders never wait, so that they need no socket of the loop's.
         self.sender_context: zmq.Context[zmq.Socket[bytes]] = zmq.Context(
@@ -94,7 +92,6 @@
     def send(self, receiver: Address, message: ControlMessage) -> None:
         """Send without waiting; what cannot be queued is dropped."""
         frames = encode_message(self.address, message)
-        self.octets_sent += sum(map(len, frames))
         dealer = self._get_dealer(receiver)
         try:
             dealer.send_multipart(frames, flags=zmq.NOBLOCK)
@@ -131,7 +128,6 @@
     async def _read(self, router: zmq_asyncio.Socket) -> None:
         while True:
             _peer, *frames = await router.recv_multipart()
-            self.octets_received += sum(map(len, frames))
             try:
                 delivery = decode_message(frames)
             except WireError as error:
--- a/packages/keelgap/src/keelgap/dissemination/source.py
+++ b/packages/keelgap/src/keelgap/dissemination/source.py
@@ -62,8 +62,6 @@
         self.settings = settings
         self.random = random
         self.on_document = on_document
-        self.reads = 0
-        self.failures = 0
 
     async def watch(self, key: str) -> None:
         """Read a key for ever; pause and try again when the read fails."""
@@ -73,7 +71,6 @@
             try:
                 index = await self._read(key, index)
             except _READ_ERRORS:
-                self.failures += 1
                 failed += 1
                 # The value may be an older one when the service is back.
                 index = 0
@@ -101,7 +98,6 @@
 
     async def _get(self, key: str, index: int, wait: float) -> _Value:
         base = self.settings.url.rstrip('/')
-        self.reads += 1
         async with self.session.get(
             f'{base}/v1/kv/{key}',
             params={'index': str(index), 'wait': f'{wait}s'},
