--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
@@ -0,0 +1,40 @@
+"""Settings of the packet agent."""
+
+from typing import NamedTuple
+
+from keelgap.conf import InstanceSettings
+
+__all__ = ('AgentListenSettings', 'AgentPacketSettings', 'UpstreamSettings')
+
+
+class AgentListenSettings(NamedTuple):
+    """Section ``listen``: addresses as ``IPv4:port``, and ports."""
+
+    #: UDP: packets of the upstream.
+    upstream: str
+    #: UDP: balancers and agents among themselves, the same port everywhere.
+    peer_port: int
+    #: Any address with the UDP port that all callers have.
+    callers: str
+    #: TCP: whether this agent serves.
+    ready: str
+    #: TCP port of the metrics page; 0 for none.
+    metrics_port: int = 0
+
+
+class UpstreamSettings(NamedTuple):
+    """Section ``upstream``: the upstream beside this agent."""
+
+    service: str
+    #: UDP: where it takes packets.
+    address: str
+    #: Python module of the platform's adapter.
+    adapter: str = 'keelgap_platform.adapter'
+
+
+class AgentPacketSettings(NamedTuple):
+    """All sections of a packet agent's settings file."""
+
+    instance: InstanceSettings
+    listen: AgentListenSettings
+    upstream: UpstreamSettings
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -0,0 +1,52 @@
+"""Default values of the packet agent, each with its reason."""
+
+from typing import Final
+
+__all__ = (
+    'ANSWER_WEIGHT',
+    'ENDED_SECONDS',
+    'FLOW_SECONDS',
+    'MAX_FLOWS',
+    'OFFER_SECONDS',
+    'REPORT_IDLE_SECONDS',
+    'REPORT_SECONDS',
+    'STOP_SECONDS',
+    'SUBSCRIBED_SECONDS',
+    'SWEEP_SECONDS',
+    'TIMER_SECONDS',
+)
+
+#: Period of the timer, and shortest pause between reports to a balancer.
+TIMER_SECONDS: Final = 0.05
+REPORT_SECONDS: Final = 0.05
+
+#: Longest pause between reports, from which balancers tell that it lives.
+REPORT_IDLE_SECONDS: Final = 0.25
+
+#: A balancer gets reports for so long after its last greeting, which comes
+#: every second.
+SUBSCRIBED_SECONDS: Final = 3.0
+
+#: Weight of the latest answer in the mean time to an answer.
+ANSWER_WEIGHT: Final = 0.1
+
+#: Pause between sweeps of the flow table.
+SWEEP_SECONDS: Final = 1.0
+
+#: An opening packet that the upstream did not answer for so long is
+#: forgotten: its sender gives up after 1.4 s.
+OFFER_SECONDS: Final = 2.0
+
+#: A flow that both ends closed, or one reset, is kept for late packets.
+ENDED_SECONDS: Final = 2.0
+
+#: Flows without a packet for so long are forgotten; if one is open after
+#: all, its next packet is passed to the upstream, which knows.
+FLOW_SECONDS: Final = 60.0
+
+#: Flows kept at once; an upstream holds 2,000.  Beyond it new ones are
+#: given back.
+MAX_FLOWS: Final = 20000
+
+#: Longest planned stop; the platform kills after 6 s.
+STOP_SECONDS: Final = 4.0
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
@@ -0,0 +1,42 @@
+"""Effects that the packet agent asks its driver for."""
+
+from typing import Any, NamedTuple
+
+__all__ = (
+    'AgentEffect',
+    'Decided',
+    'SendToBalancer',
+    'SendToCaller',
+    'SendToUpstream',
+)
+
+
+class SendToUpstream(NamedTuple):
+    """Hand a packet to the upstream."""
+
+    datagram: bytes
+
+
+class SendToCaller(NamedTuple):
+    """Send a packet of the upstream to its caller, unchanged."""
+
+    datagram: bytes
+
+
+class SendToBalancer(NamedTuple):
+    """Send an envelope to the balancer on a host."""
+
+    host: str
+    kind: int
+    hop: int
+    content: bytes
+
+
+class Decided(NamedTuple):
+    """Count a decision by name, and log it if it has fields."""
+
+    name: str
+    fields: dict[str, Any] | None = None
+
+
+AgentEffect = SendToUpstream | SendToCaller | SendToBalancer | Decided
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/events.py
@@ -0,0 +1,43 @@
+"""Events of the packet agent; ``now`` is in seconds of one clock."""
+
+from typing import NamedTuple
+
+from keelgap.packets.envelopes import Envelope
+
+__all__ = (
+    'AgentEvent',
+    'EnvelopeArrived',
+    'StopRequested',
+    'TimerFired',
+    'UpstreamPacket',
+)
+
+
+class EnvelopeArrived(NamedTuple):
+    """A balancer sent an envelope."""
+
+    now: float
+    sender: str
+    envelope: Envelope
+
+
+class UpstreamPacket(NamedTuple):
+    """The upstream sent a whole packet, or gave one back."""
+
+    now: float
+    datagram: bytes
+
+
+class TimerFired(NamedTuple):
+    """The periodic timer fired."""
+
+    now: float
+
+
+class StopRequested(NamedTuple):
+    """The process was asked to stop in a planned way."""
+
+    now: float
+
+
+AgentEvent = EnvelopeArrived | UpstreamPacket | TimerFired | StopRequested
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -0,0 +1,248 @@
+"""The packet agent's reducer: ``(state, event) -> (state, effects)``."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from keelgap.packets.envelopes import (
+    EnvelopeKind,
+    MalformedEnvelope,
+    pack_report,
+)
+from keelgap.packets.formats import ENDS_FLOW, Flags
+from keelgap_agent.packets import defaults
+from keelgap_agent.packets.effects import (
+    AgentEffect,
+    Decided,
+    SendToBalancer,
+    SendToCaller,
+    SendToUpstream,
+)
+from keelgap_agent.packets.events import (
+    AgentEvent,
+    EnvelopeArrived,
+    StopRequested,
+    TimerFired,
+    UpstreamPacket,
+)
+from keelgap_agent.packets.state import AgentState, Flow
+
+__all__ = ('reduce',)
+
+Effects = tuple[AgentEffect, ...]
+_SYN: Final = int(Flags.SYN)
+_BOUNCED: Final = int(Flags.BOUNCED)
+
+
+def reduce(
+    state: AgentState,
+    event: AgentEvent,
+) -> tuple[AgentState, Effects]:
+    """Return the state after an event and what the driver must do."""
+    return state, _HANDLERS[type(event)](state, event)
+
+
+def _take_envelope(state: AgentState, event: EnvelopeArrived) -> Effects:
+    handler = _ENVELOPE_HANDLERS.get(event.envelope.kind)
+    if handler is None:
+        return (Decided('drop_unexpected_kind'),)
+    return handler(state, event)
+
+
+def _greet(state: AgentState, event: EnvelopeArrived) -> Effects:
+    """Report to this balancer at once, and for some seconds."""
+    state.balancers.greeted[event.sender] = event.now
+    return (_report(state, event.sender),)
+
+
+def _report(state: AgentState, host: str) -> SendToBalancer:
+    content = pack_report(state.make_report())
+    return SendToBalancer(host, EnvelopeKind.REPORT, 0, content)
+
+
+def _take_packet(state: AgentState, event: EnvelopeArrived) -> Effects:
+    """Pass a packet to the upstream unless it cannot be meant for it."""
+    envelope = event.envelope
+    datagram = envelope.content
+    if not state.format.is_whole(datagram):
+        return (Decided(MalformedEnvelope.code),)
+    if envelope.service_tag != state.service_tag:
+        return (_miss(event), Decided('miss_other_service'))
+    key = state.format.caller_key(datagram)
+    flow = state.flows.get(key)
+    if flow is None:
+        if not _may_add(state, envelope.kind):
+            return (_miss(event), Decided('miss_closed'))
+        flow = Flow(event.now)
+        state.flows[key] = flow
+    flow.seen = event.now
+    state.last_packet = event.now
+    _note_caller_packet(state, flow, datagram, event.now)
+    mark = state.balancers.make_mark(
+        event.sender, envelope.hop, envelope.kind
+    )
+    passed = SendToUpstream(state.format.with_mark(datagram, mark))
+    if envelope.kind != EnvelopeKind.SEARCH:
+        return (passed,)
+    if flow.confirmed:
+        return passed, _tell_owned(event.sender, key)
+    flow.asked_by = event.sender
+    return (passed,)
+
+
+def _may_add(state: AgentState, kind: int) -> bool:
+    """Return whether a flow that is not known here may be passed on.
+
+    The upstream knows best whether it holds an open one, so only new flows
+    are kept from it.
+    """
+    if kind != EnvelopeKind.OPEN:
+        return True
+    if state.stopping_since is not None:
+        return False
+    return len(state.flows) < defaults.MAX_FLOWS
+
+
+def _miss(event: EnvelopeArrived) -> SendToBalancer:
+    envelope = event.envelope
+    return SendToBalancer(
+        event.sender,
+        EnvelopeKind.MISS,
+        envelope.hop,
+        envelope.content,
+    )
+
+
+def _tell_owned(host: str, key: bytes) -> SendToBalancer:
+    return SendToBalancer(host, EnvelopeKind.OWNED, 0, key)
+
+
+def _note_caller_packet(
+    state: AgentState,
+    flow: Flow,
+    datagram: bytes,
+    now: float,
+) -> None:
+    if state.format.flags(datagram) & ENDS_FLOW:
+        flow.ended = True
+    if state.format.data_length(datagram):
+        state.start_request(flow, now)
+
+
+def _take_upstream_packet(
+    state: AgentState,
+    event: UpstreamPacket,
+) -> Effects:
+    datagram = event.datagram
+    flags = state.format.flags(datagram)
+    if flags & _BOUNCED:
+        return _take_bounce(state, datagram)
+    now = event.now
+    key = state.format.upstream_key(datagram)
+    flow = state.flows.get(key)
+    if flow is None:
+        # This process is younger than the flow.
+        flow = Flow(now)
+        state.flows[key] = flow
+    flow.seen = now
+    flow.confirmed = True
+    state.last_packet = now
+    if state.format.data_length(datagram):
+        state.end_request(flow, now)
+    if flags & ENDS_FLOW:
+        flow.ended = True
+        state.end_request(flow, now)
+    passed = SendToCaller(datagram)
+    asked_by = flow.asked_by
+    if asked_by is None:
+        return (passed,)
+    flow.asked_by = None
+    return passed, _tell_owned(asked_by, key)
+
+
+def _take_bounce(state: AgentState, datagram: bytes) -> Effects:
+    """Give a packet that the upstream did not take back to its balancer."""
+    host, hop, kind = state.balancers.read_mark(state.format.mark(datagram))
+    packet = state.format.without_bounce(datagram)
+    key = state.format.caller_key(packet)
+    state.forget(key)
+    if kind == EnvelopeKind.OPEN:
+        state.refused += 1
+    if host is None:
+        return (Decided('drop_bounce_unknown_mark'),)
+    bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
+    return SendToBalancer(host, EnvelopeKind.MISS, hop, packet), bounced
+
+
+def _handle_timer(state: AgentState, event: TimerFired) -> Effects:
+    now = event.now
+    if now - state.swept_at >= defaults.SWEEP_SECONDS:
+        state.swept_at = now
+        _sweep(state, now)
+    report = state.make_report()
+    waited = now - state.reported_at
+    if report == state.reported and waited < defaults.REPORT_IDLE_SECONDS:
+        return ()
+    state.reported = report
+    state.reported_at = now
+    return _report_to_all(state, now)
+
+
+def _report_to_all(state: AgentState, now: float) -> Effects:
+    greeted = state.balancers.greeted
+    silent = [
+        host
+        for host, at in greeted.items()
+        if now - at > defaults.SUBSCRIBED_SECONDS
+    ]
+    for host in silent:
+        greeted.pop(host)
+    return tuple(_report(state, host) for host in greeted)
+
+
+def _sweep(state: AgentState, now: float) -> None:
+    """Forget flows that ended, never opened, or were long silent."""
+    over = [
+        key
+        for key, flow in state.flows.items()
+        if now - flow.seen > _choose_patience(flow)
+    ]
+    for key in over:
+        state.forget(key)
+
+
+def _choose_patience(flow: Flow) -> float:
+    if flow.ended:
+        return defaults.ENDED_SECONDS
+    if flow.confirmed:
+        return defaults.FLOW_SECONDS
+    return defaults.OFFER_SECONDS
+
+
+def _stop(state: AgentState, event: StopRequested) -> Effects:
+    """Take no new flows, and say so at once."""
+    state.stopping_since = event.now
+    return _report_to_all(state, event.now)
+
+
+_KIND_NAMES: Final = MappingProxyType({
+    int(kind): kind.name.lower() for kind in EnvelopeKind
+})
+
+_ENVELOPE_HANDLERS: Final[
+    Mapping[int, Callable[[AgentState, EnvelopeArrived], Effects]]
+] = MappingProxyType({
+    int(EnvelopeKind.HELLO): _greet,
+    int(EnvelopeKind.FORWARD): _take_packet,
+    int(EnvelopeKind.OPEN): _take_packet,
+    int(EnvelopeKind.SEARCH): _take_packet,
+})
+
+_HANDLERS: Final[
+    Mapping[type, Callable[[AgentState, Any], Effects]]
+] = MappingProxyType({
+    EnvelopeArrived: _take_envelope,
+    UpstreamPacket: _take_upstream_packet,
+    TimerFired: _handle_timer,
+    StopRequested: _stop,
+})
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -0,0 +1,171 @@
+"""A packet agent: sockets in, events through the reducer, sockets."""
+
+import signal
+from collections.abc import Callable
+from contextlib import ExitStack
+from importlib import import_module
+from types import MappingProxyType
+from typing import Any, Final
+
+from keelgap.addresses import Address, parse_address
+from keelgap.packets.envelopes import (
+    MalformedEnvelope,
+    pack_envelope,
+    unpack_envelope,
+)
+from keelgap.packets.process import DecisionLog, PacketProcess
+from keelgap.runtime.pages import Page, serve_pages
+from keelgap.sockets import bind_datagram, make_reader, send_datagram
+from keelgap_agent.packets import defaults
+from keelgap_agent.packets.conf import AgentPacketSettings
+from keelgap_agent.packets.effects import (
+    Decided,
+    SendToBalancer,
+    SendToCaller,
+    SendToUpstream,
+)
+from keelgap_agent.packets.events import (
+    AgentEvent,
+    EnvelopeArrived,
+    StopRequested,
+    TimerFired,
+    UpstreamPacket,
+)
+from keelgap_agent.packets.reducer import reduce
+from keelgap_agent.packets.state import AgentState
+
+__all__ = ('PacketAgent',)
+
+_READY: Final = Page(200, 'text/plain', b'ready\n')
+_NOT_READY: Final = Page(503, 'text/plain', b'not ready\n')
+
+
+class PacketAgent:
+    """One agent beside its upstream."""
+
+    def __init__(
+        self,
+        settings: AgentPacketSettings,
+        process: PacketProcess,
+        stack: ExitStack,
+    ) -> None:
+        """Bind everything; the stack closes it."""
+        listen = settings.listen
+        self.settings = settings
+        self.process = process
+        self.loop = process.loop
+        self.adapter = import_module(settings.upstream.adapter)
+        self.format = self.adapter.make_packet_format()
+        self.upstream = parse_address(settings.upstream.address)
+        self.peer_port = listen.peer_port
+        self.caller_port = parse_address(listen.callers).port
+        self.state = AgentState(
+            self.format,
+            settings.upstream.service,
+            self.loop.clock(),
+        )
+        self.decisions = DecisionLog(process.lines, process.counters)
+        self.upstream_socket = bind_datagram(
+            'listen.upstream',
+            parse_address(listen.upstream),
+        )
+        stack.callback(self.upstream_socket.close)
+        self.peer_socket = bind_datagram(
+            'listen.peer_port',
+            Address(settings.instance.address, self.peer_port),
+        )
+        stack.callback(self.peer_socket.close)
+        self.handlers = MappingProxyType[type, Callable[[Any], None]]({
+            SendToUpstream: self._send_to_upstream,
+            SendToCaller: self._send_to_caller,
+            SendToBalancer: self._send_to_balancer,
+            Decided: self.decisions.take,
+        })
+
+    def start(self) -> None:
+        """Begin to serve."""
+        loop = self.loop
+        loop.add_reader(
+            self.upstream_socket,
+            make_reader(self.upstream_socket, self._read_upstream),
+        )
+        loop.add_reader(
+            self.peer_socket,
+            make_reader(self.peer_socket, self._read_peer),
+        )
+        ready = parse_address(self.settings.listen.ready)
+        serve_pages(loop, ready, {self.adapter.READY_PATH: self._make_ready})
+        loop.call_every(defaults.TIMER_SECONDS, self._tick)
+
+    def stop(self) -> None:
+        """Leave in a planned way: let requests at work end first."""
+        if self.state.stopping_since is None:
+            self.process.lines.tell('stopping', busy=self.state.busy)
+            self._dispatch(StopRequested(self.loop.clock()))
+
+    def list_signals(self) -> dict[int, Callable[[], None]]:
+        """Return what to do at each signal."""
+        return {
+            signal.SIGTERM: self.stop,
+            signal.SIGINT: self.stop,
+            signal.SIGHUP: self.process.note_reload,
+        }
+
+    def _read_upstream(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        if not self.format.is_whole(datagram):
+            self.process.counters.count('drop_malformed_packet')
+            return
+        self._dispatch(UpstreamPacket(self.loop.clock(), datagram))
+
+    def _read_peer(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        try:
+            envelope = unpack_envelope(datagram)
+        except MalformedEnvelope as error:
+            self.process.counters.count(error.code)
+            return
+        now = self.loop.clock()
+        self._dispatch(EnvelopeArrived(now, sender[0], envelope))
+
+    def _dispatch(self, event: AgentEvent) -> None:
+        state, effects = reduce(self.state, event)
+        self.state = state
+        handlers = self.handlers
+        for effect in effects:
+            handlers[type(effect)](effect)
+
+    def _send(
+        self,
+        datagram: bytes,
+        receiver: tuple[str, int],
+    ) -> None:
+        if not send_datagram(self.peer_socket, datagram, receiver):
+            self.process.counters.count('send_failed')
+
+    def _send_to_upstream(self, effect: SendToUpstream) -> None:
+        if not send_datagram(
+            self.upstream_socket, effect.datagram, self.upstream
+        ):
+            self.process.counters.count('send_failed')
+
+    def _send_to_caller(self, effect: SendToCaller) -> None:
+        host = self.format.destination_host(effect.datagram)
+        self._send(effect.datagram, (host, self.caller_port))
+
+    def _send_to_balancer(self, effect: SendToBalancer) -> None:
+        host, kind, hop, content = effect
+        datagram = pack_envelope(kind, hop, self.state.service_tag, content)
+        self._send(datagram, (host, self.peer_port))
+
+    def _make_ready(self) -> Page:
+        return _READY if self.state.stopping_since is None else _NOT_READY
+
+    def _tick(self) -> None:
+        now = self.loop.clock()
+        self._dispatch(TimerFired(now))
+        since = self.state.stopping_since
+        if since is None:
+            return
+        if not self.state.busy and now - since > defaults.REPORT_IDLE_SECONDS:
+            self.loop.stop()
+        elif now - since > defaults.STOP_SECONDS:
+            self.loop.stop()
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -0,0 +1,77 @@
+"""Default values of packet balancing, each with its reason."""
+
+from typing import Final
+
+__all__ = (
+    'FLOW_GENERATION_SECONDS',
+    'GONE_SECONDS',
+    'GOSSIP_SECONDS',
+    'HELLO_SECONDS',
+    'MAX_FLOWS',
+    'MAX_GOSSIP_PEERS',
+    'MAX_SEARCHES',
+    'PEER_SECONDS',
+    'QUIET_SECONDS',
+    'REMOTE_LOAD',
+    'ROUTERS_SECONDS',
+    'SEARCH_SECONDS',
+    'SEARCH_STEP_SECONDS',
+    'STOP_SECONDS',
+    'TIMER_SECONDS',
+    'WARM_UP_SLOTS',
+)
+
+#: Period of the timer.
+TIMER_SECONDS: Final = 0.1
+
+#: Owners not used for one to two of these are forgotten and searched again.
+FLOW_GENERATION_SECONDS: Final = 30.0
+
+#: Owners kept; at 200 octets each this is 20 MB of the 64 MB a node may take.
+MAX_FLOWS: Final = 100000
+
+#: Searches that may go on at once; more packets of unknown flows are dropped
+#: and come again, as their senders repeat them.
+MAX_SEARCHES: Final = 10000
+
+#: An agent that did not answer a search for so long is passed over.  Several
+#: round trips between availability zones (1.4 ms one way).
+SEARCH_STEP_SECONDS: Final = 0.05
+
+#: A search without a result is given up after this and may start anew.
+SEARCH_SECONDS: Final = 1.0
+
+#: Pause between greetings to an agent, which keep its reports coming.
+HELLO_SECONDS: Final = 1.0
+
+#: An agent that owes an answer for so long gets no new flows while others
+#: are there.  Reports come every 0.25 s.
+QUIET_SECONDS: Final = 0.7
+
+#: How long an upstream whose entry went is still asked for its flows; the
+#: platform says that a living one's entry is back within about 2 s.
+GONE_SECONDS: Final = 2.5
+
+#: What it costs to place a flow in another availability zone, as a share of
+#: an upstream's slots.  Set by measurement, see docs/topics/platform.md.
+REMOTE_LOAD: Final = 0.7
+
+#: Slots that count of an upstream that is still slow after its start, as a
+#: share: such upstreams take about 1.6 times as long.
+WARM_UP_SLOTS: Final = 0.6
+
+#: Pause between messages to other balancers.
+GOSSIP_SECONDS: Final = 0.5
+
+#: Other balancers told at once, and named in a message.
+MAX_GOSSIP_PEERS: Final = 8
+
+#: Another balancer that was silent for so long is forgotten.
+PEER_SECONDS: Final = 10.0
+
+#: Routers take a balancer out after two misses, half a second apart; one more
+#: half second for packets on their way.
+ROUTERS_SECONDS: Final = 1.6
+
+#: Longest planned stop; the platform kills after 6 s.
+STOP_SECONDS: Final = 4.5
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
@@ -0,0 +1,31 @@
+"""Effects that the packet balancer asks its driver for."""
+
+from typing import Any, NamedTuple
+
+__all__ = ('Decided', 'PacketEffect', 'SendReset', 'SendToAgent')
+
+
+class SendToAgent(NamedTuple):
+    """Send an envelope to the agent on a host."""
+
+    host: str
+    kind: int
+    hop: int
+    service_tag: int
+    content: bytes
+
+
+class SendReset(NamedTuple):
+    """Reset the flow of this packet towards its caller."""
+
+    datagram: bytes
+
+
+class Decided(NamedTuple):
+    """Count a decision by name, and log it if it has fields."""
+
+    name: str
+    fields: dict[str, Any] | None = None
+
+
+PacketEffect = SendToAgent | SendReset | Decided
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -0,0 +1,103 @@
+"""Take later routes and upstreams into the balancer's state."""
+
+from keelgap.catalog.models import Catalog
+from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.effects import Decided, PacketEffect
+from keelgap_balancer.packets.state import AgentView, PacketState
+
+__all__ = ('change_catalog', 'forget_gone')
+
+Effects = tuple[PacketEffect, ...]
+
+
+def change_catalog(
+    state: PacketState,
+    catalog: Catalog,
+    now: float,
+) -> Effects:
+    """Put a catalog in force; what went stays findable for a while."""
+    if catalog.routes.version != state.catalog.routes.version:
+        _change_routes(state, catalog)
+    state.catalog = catalog
+    effects = _change_upstreams(state, catalog, now)
+    _index(state)
+    return effects
+
+
+def _change_routes(state: PacketState, catalog: Catalog) -> None:
+    make_key = state.format.make_route_key
+    routes = {
+        make_key(route.host, route.port): route
+        for route in catalog.routes.routes
+    }
+    for key, route in state.routes.items():
+        if key not in routes:
+            state.former_routes[key] = route
+    for key in routes:
+        state.former_routes.pop(key, None)
+    state.routes = routes
+
+
+def _change_upstreams(
+    state: PacketState,
+    catalog: Catalog,
+    now: float,
+) -> Effects:
+    effects: list[PacketEffect] = []
+    for upstream_id, upstream in catalog.upstreams.items():
+        view = state.agents.get(upstream_id)
+        if view is None:
+            state.agents[upstream_id] = AgentView(upstream, now)
+            effects.append(_tell('upstream_added', upstream_id, catalog))
+        else:
+            if view.upstream.state != upstream.state:
+                effects.append(
+                    _tell(f'upstream_{upstream.state}', upstream_id, catalog),
+                )
+            view.upstream = upstream
+            view.gone_since = None
+    for upstream_id, view in state.agents.items():
+        if upstream_id not in catalog.upstreams and view.gone_since is None:
+            view.gone_since = now
+            effects.append(_tell('upstream_gone', upstream_id, catalog))
+    return tuple(effects)
+
+
+def _tell(name: str, upstream_id: str, catalog: Catalog) -> Decided:
+    fields = {'upstream': upstream_id, 'revision': catalog.revision}
+    return Decided(name, fields)
+
+
+def _index(state: PacketState) -> None:
+    """Sort the agents by service and by host.
+
+    Of two upstreams that were seen on one host, one with an entry counts
+    before one without, and the one that was seen later before the other.
+    """
+    by_host: dict[str, AgentView] = {}
+    for view in state.agents.values():
+        other = by_host.get(view.host)
+        if other is None or view.gone_since is None:
+            by_host[view.host] = view
+    by_service: dict[str, list[AgentView]] = {}
+    for view in by_host.values():
+        by_service.setdefault(view.upstream.service, []).append(view)
+    state.by_host = by_host
+    state.by_service = {
+        service: tuple(views) for service, views in by_service.items()
+    }
+
+
+def forget_gone(state: PacketState, now: float) -> None:
+    """Forget upstreams whose entry has been missing for long enough."""
+    gone = [
+        upstream_id
+        for upstream_id, view in state.agents.items()
+        if view.gone_since is not None
+        and now - view.gone_since > defaults.GONE_SECONDS
+        and now - view.last_heard > defaults.GONE_SECONDS
+    ]
+    for upstream_id in gone:
+        state.agents.pop(upstream_id)
+    if gone:
+        _index(state)
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -0,0 +1,84 @@
+"""Where a new flow goes."""
+
+from collections.abc import Container, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+from keelgap.catalog.models import PacketRoute
+from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.state import AgentView, PacketState
+
+__all__ = ('choose_service', 'choose_taker')
+
+_HASH_RANGE = float(1 << 64)
+
+
+def choose_service(route: PacketRoute, key: bytes) -> str:
+    """Return the service of a flow, by the weights of its route.
+
+    The flow's key decides, so that all copies of its first packet agree.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    point = xxh3_64_intdigest(key) / _HASH_RANGE * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def choose_taker(
+    state: PacketState,
+    route: PacketRoute,
+    key: bytes,
+    now: float,
+    excluded: Container[str],
+) -> AgentView | None:
+    """Return the agent that should take a new flow, or None.
+
+    Agents that owe an answer come last.  Among the others the one with the
+    least expected load wins, and one in another availability zone only when
+    the load here exceeds its own by REMOTE_LOAD.
+    """
+    service = choose_service(route, key)
+    members = [
+        view
+        for view in state.by_service.get(service, ())
+        if view.host not in excluded and view.is_open()
+    ]
+    answering = [view for view in members if not view.is_quiet(now)]
+    candidates = answering or members
+    if not candidates:
+        return None
+    duty = _compute_duty(candidates)
+    return min(
+        candidates,
+        key=lambda view: _compute_cost(state, view, key, now, duty),
+    )
+
+
+def _compute_duty(views: Sequence[AgentView]) -> float:
+    """Return the requests at work for each open flow."""
+    flows = sum(view.report.flows for view in views)
+    busy = sum(view.report.busy for view in views)
+    return min(busy / flows, 1) if flows else 0
+
+
+def _compute_cost(
+    state: PacketState,
+    view: AgentView,
+    key: bytes,
+    now: float,
+    duty: float,
+) -> tuple[float, int]:
+    report = view.report
+    slots: float = view.upstream.slots
+    if now < view.warm_at:
+        slots *= defaults.WARM_UP_SLOTS
+    expected = (report.busy + report.flows * duty) / 2 + view.picks
+    cost = (expected + 1) / slots
+    if view.upstream.availability_zone != state.availability_zone:
+        cost += defaults.REMOTE_LOAD
+    return cost, xxh3_64_intdigest(key, view.seed)
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -0,0 +1,285 @@
+"""The packet balancer's reducer: ``(state, event) -> (state, effects)``."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from keelgap.catalog.models import PacketRoute
+from keelgap.packets.envelopes import (
+    EnvelopeKind,
+    MalformedEnvelope,
+    unpack_report,
+)
+from keelgap.packets.formats import FLOW_KEY_LENGTH, Flags
+from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.effects import (
+    Decided,
+    PacketEffect,
+    SendReset,
+    SendToAgent,
+)
+from keelgap_balancer.packets.events import (
+    CallerPacket,
+    CatalogChanged,
+    EnvelopeArrived,
+    PacketEvent,
+    TimerFired,
+)
+from keelgap_balancer.packets.membership import change_catalog, forget_gone
+from keelgap_balancer.packets.placement import choose_taker
+from keelgap_balancer.packets.search import (
+    continue_search,
+    expire_searches,
+    take_unknown_flow,
+)
+from keelgap_balancer.packets.state import AgentView, PacketState, Search
+
+__all__ = ('reduce',)
+
+Effects = tuple[PacketEffect, ...]
+_SYN: Final = int(Flags.SYN)
+
+
+def reduce(
+    state: PacketState,
+    event: PacketEvent,
+) -> tuple[PacketState, Effects]:
+    """Return the state after an event and what the driver must do."""
+    return state, _HANDLERS[type(event)](state, event)
+
+
+def _take_caller_packet(state: PacketState, event: CallerPacket) -> Effects:
+    datagram = event.datagram
+    now = event.now
+    state.last_caller_packet = now
+    key = state.format.caller_key(datagram)
+    if state.format.flags(datagram) & _SYN:
+        return _open_flow(state, key, datagram, now)
+    owner = state.owners.get(key)
+    if owner is not None and not _is_lost(owner, now):
+        return _forward(owner, datagram)
+    state.owners.forget(key)
+    route = _find_route(state, datagram)
+    if route is None:
+        return (Decided('drop_unknown_route'),)
+    return take_unknown_flow(state, route, key, datagram, now)
+
+
+def _is_lost(owner: AgentView, now: float) -> bool:
+    """Return whether an owner went for good."""
+    since = owner.gone_since
+    if since is None or now - since < defaults.GONE_SECONDS:
+        return False
+    return now - owner.last_heard > defaults.GONE_SECONDS
+
+
+def _find_route(state: PacketState, datagram: bytes) -> PacketRoute | None:
+    """Return the route of an open flow, which may be a former one."""
+    route_key = state.format.route_key(datagram)
+    return state.routes.get(route_key) or state.former_routes.get(route_key)
+
+
+def _forward(owner: AgentView, datagram: bytes) -> Effects:
+    kind = EnvelopeKind.FORWARD
+    return (SendToAgent(owner.host, kind, 0, owner.service_tag, datagram),)
+
+
+def _open_flow(
+    state: PacketState,
+    key: bytes,
+    datagram: bytes,
+    now: float,
+) -> Effects:
+    if not state.has_catalog:
+        return (Decided('drop_no_catalog'),)
+    route = state.routes.get(state.format.route_key(datagram))
+    if route is None:
+        fields = {
+            'flow': state.format.describe_key(key),
+            'version': state.catalog.routes.version,
+        }
+        return SendReset(datagram), Decided('reset_unknown_route', fields)
+    owner = state.owners.get(key)
+    if owner is not None and _keeps_choice(owner, now):
+        return _offer(state, owner, 0, datagram, now)
+    excluded = () if owner is None else (owner.host,)
+    return _place(state, route, key, datagram, now, excluded, 0)
+
+
+def _keeps_choice(owner: AgentView, now: float) -> bool:
+    """Return whether a copy of an opening packet goes the same way."""
+    return owner.gone_since is None and not owner.is_quiet(now)
+
+
+def _place(
+    state: PacketState,
+    route: PacketRoute,
+    key: bytes,
+    datagram: bytes,
+    now: float,
+    excluded: tuple[str, ...],
+    hop: int,
+) -> Effects:
+    taker = choose_taker(state, route, key, now, excluded)
+    if taker is None:
+        state.searches.pop(key, None)
+        state.owners.forget(key)
+        fields = {
+            'flow': state.format.describe_key(key),
+            'route': route.name,
+            'asked': hop,
+            'revision': state.catalog.revision,
+        }
+        return SendReset(datagram), Decided('reset_no_taker', fields)
+    state.owners.put(key, taker)
+    taker.picks += 1
+    return _offer(state, taker, hop, datagram, now)
+
+
+def _offer(
+    state: PacketState,
+    taker: AgentView,
+    hop: int,
+    datagram: bytes,
+    now: float,
+) -> Effects:
+    taker.expect_answer(now)
+    kind = EnvelopeKind.OPEN
+    tag = taker.service_tag
+    return (SendToAgent(taker.host, kind, hop, tag, datagram),)
+
+
+def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
+    view = state.by_host.get(event.sender)
+    if view is None:
+        return (Decided('drop_unknown_sender'),)
+    view.note_heard(event.now)
+    handler = _ENVELOPE_HANDLERS.get(event.envelope.kind)
+    if handler is None:
+        return (Decided('drop_unexpected_kind'),)
+    return handler(state, event, view)
+
+
+def _take_report(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
+    try:
+        view.report = unpack_report(event.envelope.content)
+    except MalformedEnvelope as error:
+        return (Decided(error.code),)
+    view.picks = 0
+    return ()
+
+
+def _take_owned(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
+    key = event.envelope.content
+    if len(key) != FLOW_KEY_LENGTH:
+        return (Decided(MalformedEnvelope.code),)
+    search = state.searches.pop(key, None)
+    state.owners.put(key, view)
+    if search is None:
+        return ()
+    fields = {
+        'flow': state.format.describe_key(key),
+        'owner': view.upstream.upstream_id,
+        'asked': len(search.asked),
+    }
+    return (Decided('found_owner', fields),)
+
+
+def _take_miss(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
+    """Go on with a packet that an agent gave back."""
+    datagram = event.envelope.content
+    if not state.format.is_whole(datagram):
+        return (Decided(MalformedEnvelope.code),)
+    key = state.format.caller_key(datagram)
+    route = _find_route(state, datagram)
+    if route is None:
+        return (Decided('drop_unknown_route'),)
+    if state.owners.get(key) is view:
+        state.owners.forget(key)
+    if state.format.flags(datagram) & _SYN:
+        return _place_elsewhere(state, route, key, datagram, event, view)
+    owner = state.owners.get(key)
+    if owner is not None:
+        return _forward(owner, datagram)
+    search = state.searches.setdefault(key, Search(event.now))
+    search.missed.add(view.host)
+    if search.pending not in {None, view.host}:
+        return ()
+    search.pending = None
+    return continue_search(state, route, key, datagram, event.now)
+
+
+def _place_elsewhere(
+    state: PacketState,
+    route: PacketRoute,
+    key: bytes,
+    datagram: bytes,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
+    """Offer a flow that its first choice did not take to the next."""
+    search = state.searches.setdefault(key, Search(event.now))
+    search.missed.add(view.host)
+    hop = event.envelope.hop + 1
+    excluded = tuple(search.missed)
+    return _place(state, route, key, datagram, event.now, excluded, hop)
+
+
+def _change_catalog(state: PacketState, event: CatalogChanged) -> Effects:
+    effects = change_catalog(state, event.catalog, event.now)
+    return (*effects, *_greet(state, event.now))
+
+
+def _handle_timer(state: PacketState, event: TimerFired) -> Effects:
+    now = event.now
+    state.owners.expire(now)
+    expire_searches(state, now)
+    forget_gone(state, now)
+    return _greet(state, now)
+
+
+def _greet(state: PacketState, now: float) -> Effects:
+    """Keep the reports of agents coming."""
+    effects = []
+    kind = EnvelopeKind.HELLO
+    for view in state.by_host.values():
+        if view.hello_at > now:
+            continue
+        view.hello_at = now + defaults.HELLO_SECONDS
+        view.expect_answer(now)
+        tag = view.service_tag
+        effects.append(SendToAgent(view.host, kind, 0, tag, b''))
+    return tuple(effects)
+
+
+_ENVELOPE_HANDLERS: Final[
+    Mapping[
+        int,
+        Callable[[PacketState, EnvelopeArrived, AgentView], Effects],
+    ]
+] = MappingProxyType({
+    int(EnvelopeKind.REPORT): _take_report,
+    int(EnvelopeKind.OWNED): _take_owned,
+    int(EnvelopeKind.MISS): _take_miss,
+})
+
+_HANDLERS: Final[
+    Mapping[type, Callable[[PacketState, Any], Effects]]
+] = MappingProxyType({
+    CallerPacket: _take_caller_packet,
+    EnvelopeArrived: _take_envelope,
+    CatalogChanged: _change_catalog,
+    TimerFired: _handle_timer,
+})
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -0,0 +1,157 @@
+"""State of a packet balancer; its reducer alone changes it, in place."""
+
+from keelgap.catalog.models import NO_CATALOG, PacketRoute, PacketUpstream
+from keelgap.packets.envelopes import LoadReport, compute_service_tag
+from keelgap.packets.formats import PacketFormat
+from keelgap_balancer.packets import defaults
+
+__all__ = ('AgentView', 'FlowOwners', 'PacketState', 'Search')
+
+_NO_REPORT = LoadReport(0, 0, 0, 0, closed=False)
+
+
+class AgentView:
+    """What this balancer knows of one upstream and the agent beside it."""
+
+    __slots__ = (
+        'gone_since',
+        'hello_at',
+        'host',
+        'last_heard',
+        'picks',
+        'report',
+        'seed',
+        'service_tag',
+        'upstream',
+        'waiting_since',
+        'warm_at',
+    )
+
+    def __init__(self, upstream: PacketUpstream, now: float) -> None:
+        """Start as an upstream of which nothing was heard."""
+        self.upstream = upstream
+        self.host = upstream.address.host
+        self.service_tag = compute_service_tag(upstream.service)
+        self.seed = compute_service_tag(upstream.upstream_id)
+        self.report = _NO_REPORT
+        #: New flows sent there since its last report.
+        self.picks = 0
+        self.last_heard = float('-inf')
+        #: Since when an answer is owed.
+        self.waiting_since: float | None = None
+        self.hello_at = now
+        self.warm_at = now + upstream.warm_up_seconds
+        #: Since when its entry is missing from the catalog.
+        self.gone_since: float | None = None
+
+    def note_heard(self, now: float) -> None:
+        """Record any message of the agent."""
+        self.last_heard = now
+        self.waiting_since = None
+
+    def expect_answer(self, now: float) -> None:
+        """Start to wait, unless an answer is owed already."""
+        if self.waiting_since is None:
+            self.waiting_since = now
+
+    def is_quiet(self, now: float) -> bool:
+        """Return whether the agent owes an answer for too long."""
+        since = self.waiting_since
+        return since is not None and now - since > defaults.QUIET_SECONDS
+
+    def is_open(self) -> bool:
+        """Return whether it takes new flows, as far as is known."""
+        return (
+            self.gone_since is None
+            and self.upstream.state == 'active'
+            and not self.report.closed
+        )
+
+
+class FlowOwners:
+    """Which agent holds a flow: soft, bounded, forgotten when not used."""
+
+    def __init__(self, now: float) -> None:
+        """Start empty."""
+        self.young: dict[bytes, AgentView] = {}
+        self.old: dict[bytes, AgentView] = {}
+        self.rotate_at = now + defaults.FLOW_GENERATION_SECONDS
+
+    def get(self, key: bytes) -> AgentView | None:
+        """Return the owner if it is known."""
+        owner = self.young.get(key)
+        if owner is None:
+            owner = self.old.pop(key, None)
+            if owner is not None:
+                self.young[key] = owner
+        return owner
+
+    def put(self, key: bytes, owner: AgentView) -> None:
+        """Record the owner."""
+        self.young[key] = owner
+        if len(self.young) >= defaults.MAX_FLOWS:
+            self._rotate()
+
+    def forget(self, key: bytes) -> None:
+        """Drop what is known of a flow."""
+        self.young.pop(key, None)
+        self.old.pop(key, None)
+
+    def expire(self, now: float) -> None:
+        """Forget the generation that was not used."""
+        if now >= self.rotate_at:
+            self.rotate_at = now + defaults.FLOW_GENERATION_SECONDS
+            self._rotate()
+
+    def _rotate(self) -> None:
+        self.old = self.young
+        self.young = {}
+
+
+class Search:
+    """The search for the owner of one flow, or for a taker of a new one."""
+
+    __slots__ = ('asked', 'missed', 'pending', 'pending_since', 'started')
+
+    def __init__(self, now: float) -> None:
+        """Start before anybody was asked."""
+        self.started = now
+        #: Hosts asked, in order.
+        self.asked: list[str] = []
+        #: Hosts that said no.
+        self.missed: set[str] = set()
+        #: Host asked last, that has not answered.
+        self.pending: str | None = None
+        self.pending_since = now
+
+
+class PacketState:
+    """All that a packet balancer holds."""
+
+    def __init__(
+        self,
+        packet_format: PacketFormat,
+        availability_zone: str,
+        now: float,
+    ) -> None:
+        """Start without a catalog."""
+        self.format = packet_format
+        self.availability_zone = availability_zone
+        self.catalog = NO_CATALOG
+        self.routes: dict[bytes, PacketRoute] = {}
+        #: Routes that an earlier version had; their open flows go on.
+        self.former_routes: dict[bytes, PacketRoute] = {}
+        #: By upstream id; those whose entry went stay for a while.
+        self.agents: dict[str, AgentView] = {}
+        #: By the agent's host; the latest upstream there.
+        self.by_host: dict[str, AgentView] = {}
+        self.by_service: dict[str, tuple[AgentView, ...]] = {}
+        self.owners = FlowOwners(now)
+        self.searches: dict[bytes, Search] = {}
+        self.last_caller_packet = now
+        self.started = now
+
+    @property
+    def has_catalog(self) -> bool:
+        """Return whether routes are known, so that packets can be served."""
+        return self.catalog.routes.version > 0
--- /dev/null
+++ b/packages/keelgap/src/keelgap/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform publishes, followed by few calls and shared by peers."""
--- /dev/null
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -0,0 +1,39 @@
+"""Default values of following the store, each with its reason."""
+
+from typing import Final
+
+__all__ = (
+    'BEHIND_SECONDS',
+    'GATHER_SECONDS',
+    'LAPSE_SECONDS',
+    'PEER_FETCH_SECONDS',
+    'RETRY_FIRST_SECONDS',
+    'RETRY_MAX_SECONDS',
+    'WATCH_SECONDS',
+)
+
+#: A peer that has been ahead for so long is asked even while the store seems
+#: to answer: watches may hear nothing for a second before they are cut.
+BEHIND_SECONDS: Final = 1.0
+
+#: Pause before the next watch, so that changes that come together cost one
+#: call.  A change must be in force within 3 s, drains within 3 s.
+GATHER_SECONDS: Final = 0.3
+
+#: Longest wait of one watch.  The platform allows 30 s; a silent path is
+#: found by keep-alive probes, not by this.
+WATCH_SECONDS: Final = 20.0
+
+#: First pause after a failed call; about ten answer times of the store.
+RETRY_FIRST_SECONDS: Final = 0.1
+
+#: Longest pause after failed calls.  The store's return should be noticed
+#: within a second, as entries that lapsed are back within two.
+RETRY_MAX_SECONDS: Final = 0.8
+
+#: An entry that is missing for so long after the store was reached again is
+#: gone; the platform promises living ones back within about 2 s.
+LAPSE_SECONDS: Final = 2.5
+
+#: Pause between fetches of a later catalog from peers.
+PEER_FETCH_SECONDS: Final = 0.2
--- /dev/null
+++ b/packages/keelgap/src/keelgap/catalog/driver.py
@@ -0,0 +1,204 @@
+"""The driver of the follower: calls to the store and to peers."""
+
+import json
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any, Final, Protocol
+
+from keelgap.addresses import Address
+from keelgap.catalog.builder import CatalogBuilder, Decoders
+from keelgap.catalog.effects import (
+    EntriesChanged,
+    FetchSnapshot,
+    FollowerEffect,
+    ReadPage,
+    StoreLost,
+    StoreRegained,
+    WatchChanges,
+)
+from keelgap.catalog.events import (
+    FollowerEvent,
+    PeerAhead,
+    SnapshotReceived,
+    TimerFired,
+)
+from keelgap.catalog.follower import FollowerState, reduce, start
+from keelgap.catalog.models import Catalog, Entry
+from keelgap.exceptions import KeelgapError
+from keelgap.runtime.http import HttpAnswer, HttpClient
+from keelgap.runtime.lines import LogLines
+from keelgap.runtime.loop import EventLoop
+from keelgap.runtime.pages import Page
+
+__all__ = ('SNAPSHOT_PATH', 'CatalogDriver', 'StoreReader')
+
+SNAPSHOT_PATH: Final = '/catalog'
+_TIMER_SECONDS: Final = 0.1
+_SNAPSHOT_TIMEOUT_SECONDS: Final = 1.0
+_OK: Final = 200
+#: One octet a character, so that any octets survive.
+_OCTETS: Final = 'latin-1'
+
+
+class StoreReader(Protocol):
+    """What a platform's store client offers; each call ends in an event."""
+
+    def read_page(self, after: str) -> None:
+        """Read entries behind a key."""
+
+    def watch(self, revision: int, wait_seconds: float) -> None:
+        """Wait for changes after a revision."""
+
+
+class CatalogDriver:
+    """Run the follower in one process."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        lines: LogLines,
+        decoders: Decoders,
+        on_catalog: Callable[[Catalog], None],
+    ) -> None:
+        """Hand each catalog that comes into force to on_catalog."""
+        self.loop = loop
+        self.lines = lines
+        self.on_catalog = on_catalog
+        self.builder = CatalogBuilder(decoders, self._report_fault)
+        self.state = FollowerState(loop.clock())
+        self.store: StoreReader
+        self.peer_client: HttpClient | None = None
+        self.handlers = MappingProxyType[type, Callable[[Any], None]]({
+            ReadPage: self._read_page,
+            WatchChanges: self._watch,
+            FetchSnapshot: self._fetch,
+            EntriesChanged: self._change,
+            StoreLost: self._lose_store,
+            StoreRegained: self._regain_store,
+        })
+
+    def start(self, store: StoreReader) -> None:
+        """Begin to read the store."""
+        self.store = store
+        self._carry_out(start(self.state))
+        self.loop.call_every(_TIMER_SECONDS, self._tick)
+
+    def take(self, event: FollowerEvent) -> None:
+        """Reduce an event and carry out the effects."""
+        state, effects = reduce(self.state, event)
+        self.state = state
+        self._carry_out(effects)
+
+    def note_peer(self, peer: Address, revision: int) -> None:
+        """Take the revision that a peer holds."""
+        if revision > self.state.revision:
+            self.take(PeerAhead(self.loop.clock(), peer, revision))
+
+    def make_snapshot_page(self) -> Page:
+        """Return all entries for a peer, as JSON."""
+        document = {
+            'revision': self.state.revision if self.state.complete else 0,
+            'entries': {
+                key: [entry.content.decode(_OCTETS), entry.revision]
+                for key, entry in self.state.entries.items()
+            },
+        }
+        body = json.dumps(document).encode()
+        return Page(_OK, 'application/json', body)
+
+    def _carry_out(self, effects: tuple[FollowerEffect, ...]) -> None:
+        for effect in effects:
+            self.handlers[type(effect)](effect)
+
+    def _tick(self) -> None:
+        self.take(TimerFired(self.loop.clock()))
+
+    def _read_page(self, effect: ReadPage) -> None:
+        self._later(effect.delay, lambda: self.store.read_page(effect.after))
+
+    def _watch(self, effect: WatchChanges) -> None:
+        # Changes may have come from a peer during the pause.
+        self._later(
+            effect.delay,
+            lambda: self.store.watch(self.state.revision, effect.wait_seconds),
+        )
+
+    def _later(self, delay: float, call: Callable[[], None]) -> None:
+        if delay:
+            self.loop.call_after(delay, call)
+        else:
+            call()
+
+    def _fetch(self, effect: FetchSnapshot) -> None:
+        client = self.peer_client
+        if client is None or client.address != effect.peer:
+            if client is not None:
+                client.close()
+            client = HttpClient(self.loop, effect.peer)
+            self.peer_client = client
+        client.get(
+            SNAPSHOT_PATH,
+            _SNAPSHOT_TIMEOUT_SECONDS,
+            self._take_snapshot,
+        )
+
+    def _take_snapshot(self, answer: HttpAnswer) -> None:
+        try:
+            event = _decode_snapshot(self.loop.clock(), answer)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            self.lines.decide(
+                'snapshot_failed',
+                status=answer.status,
+                reason=answer.failure or repr(error),
+            )
+            return
+        self.take(event)
+
+    def _change(self, effect: EntriesChanged) -> None:
+        catalog = self.builder.update(
+            self.state.entries,
+            effect.keys,
+            effect.revision,
+        )
+        self.lines.tell(
+            'catalog_in_force',
+            revision=effect.revision,
+            version=catalog.routes.version,
+            upstreams=len(catalog.upstreams),
+            changed=len(effect.keys),
+            source=effect.source,
+        )
+        self.on_catalog(catalog)
+
+    def _lose_store(self, effect: StoreLost) -> None:
+        self.lines.tell(
+            'store_lost',
+            reason=effect.reason,
+            revision=self.state.revision,
+        )
+
+    def _regain_store(self, effect: StoreRegained) -> None:
+        self.lines.tell(
+            'store_regained',
+            after_seconds=round(effect.after_seconds, 3),
+            revision=self.state.revision,
+        )
+
+    def _report_fault(self, key: str, error: KeelgapError) -> None:
+        self.lines.decide(
+            'entry_refused',
+            key=key,
+            code=error.code,
+            error=str(error),
+        )
+
+
+def _decode_snapshot(now: float, answer: HttpAnswer) -> SnapshotReceived:
+    if answer.status != _OK:
+        raise ValueError(answer.status)
+    document = json.loads(answer.body)
+    entries = {
+        key: Entry(content.encode(_OCTETS), revision)
+        for key, (content, revision) in document['entries'].items()
+    }
+    return SnapshotReceived(now, entries, document['revision'])
--- /dev/null
+++ b/packages/keelgap/src/keelgap/catalog/effects.py
@@ -0,0 +1,67 @@
+"""Effects that the follower asks its driver for."""
+
+from typing import NamedTuple
+
+from keelgap.addresses import Address
+
+__all__ = (
+    'EntriesChanged',
+    'FetchSnapshot',
+    'FollowerEffect',
+    'ReadPage',
+    'StoreLost',
+    'StoreRegained',
+    'WatchChanges',
+)
+
+
+class ReadPage(NamedTuple):
+    """Ask the store for the entries behind a key."""
+
+    delay: float
+    after: str
+
+
+class WatchChanges(NamedTuple):
+    """Ask the store for what comes after a revision."""
+
+    delay: float
+    revision: int
+    wait_seconds: float
+
+
+class FetchSnapshot(NamedTuple):
+    """Ask a peer for all that it holds."""
+
+    peer: Address
+
+
+class EntriesChanged(NamedTuple):
+    """These keys have new values, or none, from now on."""
+
+    keys: tuple[str, ...]
+    revision: int
+    #: ``store`` or ``peer``, for logs.
+    source: str
+
+
+class StoreLost(NamedTuple):
+    """The first call failed after some that did not."""
+
+    reason: str
+
+
+class StoreRegained(NamedTuple):
+    """A call succeeded after some that failed."""
+
+    after_seconds: float
+
+
+FollowerEffect = (
+    ReadPage
+    | WatchChanges
+    | FetchSnapshot
+    | EntriesChanged
+    | StoreLost
+    | StoreRegained
+)
--- /dev/null
+++ b/packages/keelgap/src/keelgap/catalog/events.py
@@ -0,0 +1,93 @@
+"""Events of the follower; ``now`` is in seconds of one clock."""
+
+from typing import NamedTuple
+
+from keelgap.addresses import Address
+from keelgap.catalog.models import Entry
+
+__all__ = (
+    'CallFailed',
+    'ChangesRead',
+    'EntryChange',
+    'FollowerEvent',
+    'HistoryLost',
+    'PageRead',
+    'PeerAhead',
+    'SnapshotReceived',
+    'TimerFired',
+)
+
+
+class PageRead(NamedTuple):
+    """One page of all entries, in the order of their keys."""
+
+    now: float
+    entries: dict[str, Entry]
+    #: Revision of the store when it made the page.
+    revision: int
+    #: Key after which the next page begins; empty if this is the last.
+    next_after: str
+
+
+class EntryChange(NamedTuple):
+    """A written entry, or one that is gone."""
+
+    key: str
+    revision: int
+    #: None if the entry is gone.
+    entry: Entry | None
+
+
+class ChangesRead(NamedTuple):
+    """What a watch returned, oldest first; none if its wait was over."""
+
+    now: float
+    changes: tuple[EntryChange, ...]
+    revision: int
+
+
+class HistoryLost(NamedTuple):
+    """The store no longer knows what came after our revision."""
+
+    now: float
+
+
+class CallFailed(NamedTuple):
+    """A call brought nothing: refused, cut, silent or malformed."""
+
+    now: float
+    #: Short name of the cause for logs and metrics.
+    reason: str
+
+
+class PeerAhead(NamedTuple):
+    """A peer told that it holds a later revision."""
+
+    now: float
+    peer: Address
+    revision: int
+
+
+class SnapshotReceived(NamedTuple):
+    """A peer sent all that it holds."""
+
+    now: float
+    entries: dict[str, Entry]
+    revision: int
+
+
+class TimerFired(NamedTuple):
+    """The periodic timer fired."""
+
+    now: float
+
+
+FollowerEvent = (
+    PageRead
+    | ChangesRead
+    | HistoryLost
+    | CallFailed
+    | PeerAhead
+    | SnapshotReceived
+    | TimerFired
+)
--- a/packages/keelgap/src/keelgap/checks.py
+++ b/packages/keelgap/src/keelgap/checks.py
@@ -17,7 +17,12 @@
 
 from keelgap.exceptions import Fault
 
-__all__ = ('check_columns', 'check_range', 'describe_nearest')
+__all__ = (
+    'check_columns',
+    'check_range',
+    'convert_columns',
+    'describe_nearest',
+)
 
 _UNKNOWN: Final = 'keelgap.E001'
 _MISSING: Final = 'keelgap.E002'
@@ -110,6 +115,18 @@
         yield Fault(_WRONG_TYPE, place, str(error).lower(), hint)
 
 
+def convert_columns(
+    row: dict[str, str],
+    row_type: type[object],
+) -> dict[str, Any]:
+    """Return the values of a checked row of texts."""
+    hints = get_type_hints(row_type)
+    return {
+        key: msgspec.convert(text, hints[key], strict=False)
+        for key, text in row.items()
+    }
+
+
 def check_range(
     subject: str,
     number: float,
--- a/packages/keelgap/src/keelgap/conf.py
+++ b/packages/keelgap/src/keelgap/conf.py
@@ -4,13 +4,10 @@
 """
 
 import configparser
-from collections.abc import Callable
-from pathlib import Path
-from typing import Final, NamedTuple, TypeVar, get_type_hints
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Final, NamedTuple, TypeVar
 
-import msgspec
-
-from keelgap.checks import check_columns, describe_nearest
 from keelgap.exceptions import Fault, ImproperlyConfigured
 
 __all__ = (
@@ -81,12 +78,42 @@
     mac_sign: int = 1
 
 
+class _Doubtful(Exception):
+    """A section needs the full checks to say what is wrong with it."""
+
+
 def load_settings(path: str, settings_type: type[_SettingsT]) -> _SettingsT:
     """Return the settings of a file, one NamedTuple a section.
 
-    Raises ImproperlyConfigured with every fault found.
+    Raises ImproperlyConfigured with every fault found.  A faultless file is
+    read without the check framework, which costs a third of a fast start.
     """
     parser = _read_file(path)
+    sections = settings_type.__annotations__
+    try:
+        if parser.sections() and not sections.keys() >= set(parser.sections()):
+            raise _Doubtful
+        return settings_type(
+            *(
+                _make_section(parser, name, section_type)
+                for name, section_type in sections.items()
+            )
+        )
+    except _Doubtful:
+        return _load_checked(parser, settings_type)
+
+
+def _load_checked(
+    parser: configparser.ConfigParser,
+    settings_type: type[_SettingsT],
+) -> _SettingsT:
+    """Find every fault of a file, or return the settings."""
+    from keelgap.checks import (  # noqa: PLC0415, WPS433
+        check_columns,
+        convert_columns,
+        describe_nearest,
+    )
+
     sections = settings_type.__annotations__
     faults = [
         Fault(
@@ -105,7 +132,12 @@
         raise ImproperlyConfigured(tuple(faults))
     return settings_type(
         *(
-            _make_section(parser, name, section_type)
+            section_type(
+                **convert_columns(
+                    dict(parser[name]) if parser.has_section(name) else {},
+                    section_type,
+                ),
+            )
             for name, section_type in sections.items()
         )
     )
@@ -114,7 +146,8 @@
 def _read_file(path: str) -> configparser.ConfigParser:
     parser = configparser.ConfigParser(interpolation=None)
     try:
-        parser.read_string(Path(path).read_text('utf-8'), path)
+        with open(path, encoding='utf-8') as settings_file:
+            parser.read_file(settings_file, path)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         raise ImproperlyConfigured((
             Fault(
@@ -133,9 +166,47 @@
     section_type: Callable[..., NamedTuple],
 ) -> NamedTuple:
     row = parser[name] if parser.has_section(name) else {}
-    hints = get_type_hints(section_type)
-    columns = {
-        key: msgspec.convert(text, hints[key], strict=False)
-        for key, text in row.items()
-    }
+    hints = section_type.__annotations__
+    required = hints.keys() - section_type._field_defaults.keys()  # type: ignore[attr-defined]
+    if required - row.keys() or row.keys() - hints.keys():
+        raise _Doubtful(name)
+    columns = {key: _convert(text, hints[key]) for key, text in row.items()}
     return section_type(**columns)
+
+
+def _convert(text: str, hint: object) -> Any:
+    """Return a plain value; raise _Doubtful if its form is not plain."""
+    convert = _CONVERSIONS.get(hint)
+    if convert is None:
+        raise _Doubtful(hint)
+    try:
+        return convert(text)
+    except (KeyError, ValueError) as error:
+        raise _Doubtful(text) from error
+
+
+def _convert_int(text: str) -> int:
+    if not text.lstrip('-').isdecimal():
+        raise ValueError(text)
+    return int(text)
+
+
+def _convert_float(text: str) -> float:
+    if set(text) - _FLOAT_LETTERS:
+        raise ValueError(text)
+    return float(text)
+
+
+_FLOAT_LETTERS: Final = frozenset('0123456789.+-eE')
+_BOOLEANS: Final = MappingProxyType({
+    'true': True,
+    '1': True,
+    'false': False,
+    '0': False,
+})
+_CONVERSIONS: Final[Mapping[object, Callable[[str], Any]]] = MappingProxyType({
+    str: str,
+    int: _convert_int,
+    float: _convert_float,
+    bool: lambda text: _BOOLEANS[text.lower()],
+})
--- /dev/null
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -0,0 +1,130 @@
+"""Messages between balancers and agents about packet flows.
+
+A datagram: kind (1 octet), hop (1), service tag (4, network order), then a
+packet, a flow key or a report.  A packet behind the head is at most 1,240
+octets, so nothing is fragmented.
+"""
+
+import struct
+from enum import IntEnum
+from typing import Final, NamedTuple
+from zlib import crc32
+
+from keelgap.exceptions import KeelgapError
+
+__all__ = (
+    'HEAD_LENGTH',
+    'Envelope',
+    'EnvelopeKind',
+    'LoadReport',
+    'MalformedEnvelope',
+    'compute_service_tag',
+    'pack_envelope',
+    'pack_report',
+    'unpack_envelope',
+    'unpack_report',
+)
+
+_HEAD: Final = struct.Struct('!BBI')
+_REPORT: Final = struct.Struct('!HHHHB')
+HEAD_LENGTH: Final = _HEAD.size
+#: The highest value of a report's field.
+_MOST: Final = 65535
+
+
+class EnvelopeKind(IntEnum):
+    """What an envelope says."""
+
+    #: Balancer to agent: a packet of a flow that the agent should hold.
+    FORWARD = 1
+    #: Balancer to agent: the first packet of a flow.
+    OPEN = 2
+    #: Balancer to agent: do you hold the flow of this packet?
+    SEARCH = 3
+    #: Agent to balancer: not held here, or not taken; the packet comes back.
+    MISS = 4
+    #: Agent to balancer: this flow is held here; a flow key follows.
+    OWNED = 5
+    #: Balancer to agent: please report your load for some seconds.
+    HELLO = 6
+    #: Agent to balancer: a LoadReport follows.
+    REPORT = 7
+    #: Balancer to balancer: what I hold and whom I know.
+    GOSSIP = 8
+
+
+_KINDS: Final = frozenset(int(kind) for kind in EnvelopeKind)
+
+
+class MalformedEnvelope(KeelgapError):
+    """A datagram between processes that cannot be read."""
+
+    code = 'malformed_envelope'
+
+
+class Envelope(NamedTuple):
+    """One datagram between processes."""
+
+    kind: int
+    #: How many agents were asked before this one.
+    hop: int
+    #: Stands for the service that the sender means.
+    service_tag: int
+    content: bytes
+
+
+class LoadReport(NamedTuple):
+    """What an agent knows of its own upstream."""
+
+    #: Requests at work or queued at the upstream.
+    busy: int
+    #: Open flows.
+    flows: int
+    #: Mean time to the first octet of an answer, in milliseconds; 0 if none.
+    answer_ms: int
+    #: Opening packets that the upstream gave back or left unanswered lately.
+    refused: int
+    #: Whether the agent or its upstream takes no new flows.
+    closed: bool
+
+
+def compute_service_tag(service: str) -> int:
+    """Return the 32-bit tag of a service's name."""
+    return crc32(service.encode())
+
+
+def pack_envelope(
+    kind: int,
+    hop: int,
+    service_tag: int,
+    content: bytes,
+) -> bytes:
+    """Return the octets of an envelope."""
+    return _HEAD.pack(kind, hop, service_tag) + content
+
+
+def unpack_envelope(datagram: bytes) -> Envelope:
+    """Return the envelope that a datagram holds; raise MalformedEnvelope."""
+    if len(datagram) < HEAD_LENGTH or datagram[0] not in _KINDS:
+        raise MalformedEnvelope(len(datagram))
+    kind, hop, service_tag = _HEAD.unpack_from(datagram)
+    return Envelope(kind, hop, service_tag, datagram[HEAD_LENGTH:])
+
+
+def pack_report(report: LoadReport) -> bytes:
+    """Return the octets of a report; values too large are cut."""
+    return _REPORT.pack(
+        min(report.busy, _MOST),
+        min(report.flows, _MOST),
+        min(report.answer_ms, _MOST),
+        min(report.refused, _MOST),
+        report.closed,
+    )
+
+
+def unpack_report(content: bytes) -> LoadReport:
+    """Return a report; raise MalformedEnvelope."""
+    if len(content) != _REPORT.size:
+        raise MalformedEnvelope(len(content))
+    busy, flows, answer_ms, refused, closed = _REPORT.unpack(content)
+    return LoadReport(busy, flows, answer_ms, refused, bool(closed))
--- /dev/null
+++ b/packages/keelgap/src/keelgap/packets/process.py
@@ -0,0 +1,129 @@
+"""What both packet programs do around their server."""
+
+import os
+import sys
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any, Final, Protocol, TypeVar
+
+from keelgap.conf import load_settings
+from keelgap.exceptions import KeelgapError
+from keelgap.runtime.lines import LogLines
+from keelgap.runtime.loop import EventLoop
+
+__all__ = (
+    'Counters',
+    'DecisionLog',
+    'PacketProcess',
+    'PacketServer',
+    'SETTINGS_VARIABLE',
+    'run_process',
+)
+
+SETTINGS_VARIABLE: Final = 'KEELGAP_SETTINGS'
+#: Log lines wait so long at most; one write serves all of them.
+_FLUSH_SECONDS: Final = 0.25
+_EXIT_BAD_SETTINGS: Final = 2
+
+
+class _Decision(Protocol):
+    name: str
+    fields: dict[str, Any] | None
+
+
+class Counters:
+    """Counts by name; the metrics page turns them into its own types."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.totals: dict[str, int] = {}
+
+    def count(self, name: str) -> None:
+        """Count one event."""
+        self.totals[name] = self.totals.get(name, 0) + 1
+
+
+class DecisionLog:
+    """Count decisions, and log those that say what decided them."""
+
+    def __init__(self, lines: LogLines, counters: Counters) -> None:
+        """Write to the process's log."""
+        self.lines = lines
+        self.counters = counters
+
+    def take(self, decision: _Decision) -> None:
+        """Count and log one decision."""
+        self.counters.count(decision.name)
+        if decision.fields is not None:
+            self.lines.decide(decision.name, **decision.fields)
+
+
+class PacketProcess:
+    """The loop, the log and the counters of one process."""
+
+    def __init__(
+        self,
+        program: str,
+        instance: str,
+        settings_path: str,
+        stack: ExitStack,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Open the loop; the stack closes it."""
+        self.settings_path = settings_path
+        self.loop = EventLoop(stack, clock)
+        self.lines = LogLines(program, instance, self.loop.clock)
+        self.counters = Counters()
+        self.loop.call_every(_FLUSH_SECONDS, self.lines.flush)
+
+    def note_reload(self) -> None:
+        """Log that the settings file may have changed."""
+        self.lines.tell('reload_asked', path=self.settings_path)
+
+
+class PacketServer(Protocol):
+    """A packet balancer or a packet agent."""
+
+    def start(self) -> None:
+        """Begin to serve."""
+
+    def list_signals(self) -> dict[int, Callable[[], None]]:
+        """Return what to do at each signal."""
+
+
+_SettingsT = TypeVar('_SettingsT', bound=tuple[Any, ...])
+
+
+def run_process(
+    program: str,
+    path: str | None,
+    settings_type: type[_SettingsT],
+    make_server: Callable[[_SettingsT, PacketProcess, ExitStack], PacketServer],
+) -> int:
+    """Run a server until it stops itself; return the exit status."""
+    path = path or os.environ.get(SETTINGS_VARIABLE, '')
+    try:
+        settings = load_settings(path, settings_type)
+    except KeelgapError as error:
+        print(f'{error.code}: {error}', file=sys.stderr)  # noqa: WPS421
+        return _EXIT_BAD_SETTINGS
+    _never_wait_for_readers()
+    with ExitStack() as stack:
+        process = PacketProcess(program, settings[0].name, path, stack)
+        server = make_server(settings, process, stack)
+        process.loop.handle_signals(server.list_signals(), stack)
+        server.start()
+        process.lines.tell(
+            'started',
+            process_seconds=round(time.process_time(), 3),
+        )
+        process.loop.run()
+        process.lines.tell('stopped', counters=process.counters.totals)
+        process.lines.flush()
+    return 0
+
+
+def _never_wait_for_readers() -> None:
+    """Let a full pipe behind standard output refuse instead of block."""
+    os.set_blocking(sys.stdout.fileno(), False)  # noqa: WPS425
--- /dev/null
+++ b/packages/keelgap/src/keelgap/runtime/lines.py
@@ -0,0 +1,108 @@
+"""Log lines as JSON on standard output, bounded and never waiting.
+
+Lines queue up to a fixed number and leave in one write when the loop is
+idle.  While a reader is stuck, the oldest stay, new ones are dropped and
+their number is said in a line as soon as there is room again.
+"""
+
+import json
+import os
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Final
+
+__all__ = ('LogLines', 'Write', 'write_to_standard_output')
+
+#: Lines that may wait; with 300 octets a line that is 600 KB.
+MAX_WAITING: Final = 2000
+#: Lines a second that a process may write for decisions on flows.  One day of
+#: 34 s with 250 requests a second stays below it; a flood does not.
+LINES_PER_SECOND: Final = 200
+#: Octets handed to the system at once.
+_CHUNK: Final = 32768
+_STANDARD_OUTPUT: Final = 1
+
+Write = Callable[[bytes], int]
+
+
+def write_to_standard_output(octets: bytes) -> int:
+    """Write what the pipe takes without waiting; return how much it was."""
+    try:
+        return os.write(_STANDARD_OUTPUT, octets)
+    except BlockingIOError:
+        return 0
+
+
+class LogLines:
+    """The log of one process."""
+
+    def __init__(
+        self,
+        program: str,
+        instance: str,
+        clock: Callable[[], float],
+        write: Write = write_to_standard_output,
+    ) -> None:
+        """Start empty; nothing is written before the first flush."""
+        self.program = program
+        self.instance = instance
+        self.clock = clock
+        self.write = write
+        self.waiting: deque[bytes] = deque()
+        self.rest = b''
+        self.dropped = 0
+        self.second = 0
+        self.left = LINES_PER_SECOND
+
+    def decide(self, event: str, **fields: object) -> None:
+        """Log a decision on a flow, within the lines a second allowed."""
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.left = LINES_PER_SECOND
+        self.left -= 1
+        if self.left < 0:
+            self.dropped += 1
+            return
+        self.tell(event, **fields)
+
+    def tell(self, event: str, **fields: object) -> None:
+        """Log what happens seldom: start, stop, a belief that changed."""
+        if len(self.waiting) >= MAX_WAITING:
+            self.dropped += 1
+            return
+        line = {
+            'time': round(time.time(), 3),
+            'uptime': round(self.clock(), 3),
+            'program': self.program,
+            'instance': self.instance,
+            'event': event,
+            **fields,
+        }
+        self.waiting.append(json.dumps(line, default=str).encode() + b'\n')
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        if self.dropped and len(self.waiting) < MAX_WAITING:
+            dropped = self.dropped
+            self.dropped = 0
+            self.tell('log_lines_dropped', count=dropped)
+        while self.waiting or self.rest:
+            chunk = self.rest or self._take_chunk()
+            written = 0
+            with suppress(OSError):
+                written = self.write(chunk)
+            self.rest = chunk[written:]
+            if self.rest:
+                return
+
+    def _take_chunk(self) -> bytes:
+        lines = []
+        length = 0
+        while self.waiting and length < _CHUNK:
+            line = self.waiting.popleft()
+            length += len(line)
+            lines.append(line)
+        return b''.join(lines)
