--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -4,12 +4,18 @@
 
 __all__ = (
     'ANSWER_WEIGHT',
+    'COPY_SECONDS',
     'ENDED_SECONDS',
+    'EXTRA_SLOTS',
+    'FIRST_SLOTS',
     'FLOW_SECONDS',
+    'HELD_PER_SLOT',
     'MAX_FLOWS',
+    'OPENING_SECONDS',
     'OFFER_SECONDS',
     'REPORT_IDLE_SECONDS',
     'REPORT_SECONDS',
+    'REQUEST_SECONDS',
     'STOP_SECONDS',
     'SUBSCRIBED_SECONDS',
     'SWEEP_SECONDS',
@@ -44,6 +50,26 @@
 #: all, its next packet is passed to the upstream, which knows.
 FLOW_SECONDS: Final = 60.0
 
+#: Slots assumed until a balancer says how many the upstream has.
+FIRST_SLOTS: Final = 4
+
+#: New flows passed on beyond the slots: while an answer leaves, the next
+#: caller's request is still one round trip away.
+EXTRA_SLOTS: Final = 1
+
+#: A new flow whose request does not come within this no longer counts as
+#: work.  Ten round trips to a caller.
+REQUEST_SECONDS: Final = 0.15
+
+#: New flows that may wait here for each slot.  Twelve requests of 80 ms last
+#: a second; callers repeat an opening packet for 1.4 s.
+HELD_PER_SLOT: Final = 30
+
+#: A caller gives up an opening packet this long after it sent the first, and
+#: sends copies after 0.2 s and 0.6 s.
+OPENING_SECONDS: Final = 1.4
+COPY_SECONDS: Final = (0, 0.2, 0.6)
+
 #: Flows kept at once; an upstream holds 2,000.  Beyond it new ones are
 #: given back.
 MAX_FLOWS: Final = 20000
--- a/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from keelgap.packets.envelopes import Envelope
+
 __all__ = (
     'AgentEffect',
     'Decided',
@@ -27,9 +29,7 @@
     """Send an envelope to the balancer on a host."""
 
     host: str
-    kind: int
-    hop: int
-    content: bytes
+    envelope: Envelope
 
 
 class Decided(NamedTuple):
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -11,6 +11,11 @@
 )
 from keelgap.packets.formats import ENDS_FLOW, Flags
 from keelgap_agent.packets import defaults
+from keelgap_agent.packets.admission import (
+    give_back_all,
+    release_held,
+    take_opening,
+)
 from keelgap_agent.packets.effects import (
     AgentEffect,
     Decided,
@@ -57,7 +62,7 @@
 
 def _report(state: AgentState, host: str) -> SendToBalancer:
     content = pack_report(state.make_report())
-    return SendToBalancer(host, EnvelopeKind.REPORT, 0, content)
+    return state.send(host, EnvelopeKind.REPORT, content)
 
 
 def _take_packet(state: AgentState, event: EnvelopeArrived) -> Effects:
@@ -67,17 +72,18 @@
     if not state.format.is_whole(datagram):
         return (Decided(MalformedEnvelope.code),)
     if envelope.service_tag != state.service_tag:
-        return (_miss(event), Decided('miss_other_service'))
+        return (_miss(state, event), Decided('miss_other_service'))
     key = state.format.caller_key(datagram)
     flow = state.flows.get(key)
     if flow is None:
-        if not _may_add(state, envelope.kind):
-            return (_miss(event), Decided('miss_closed'))
+        if envelope.kind == EnvelopeKind.OPEN:
+            return take_opening(state, key, event)
+        # The upstream knows best whether it holds a flow that is open.
         flow = Flow(event.now)
         state.flows[key] = flow
     flow.seen = event.now
     state.last_packet = event.now
-    _note_caller_packet(state, flow, datagram, event.now)
+    _note_caller_packet(state, key, flow, datagram, event.now)
     mark = state.balancers.make_mark(
         event.sender, envelope.hop, envelope.kind
     )
@@ -85,40 +91,25 @@
     if envelope.kind != EnvelopeKind.SEARCH:
         return (passed,)
     if flow.confirmed:
-        return passed, _tell_owned(event.sender, key)
+        owned = state.send(event.sender, EnvelopeKind.OWNED, key)
+        return passed, owned
     flow.asked_by = event.sender
     return (passed,)
 
 
-def _may_add(state: AgentState, kind: int) -> bool:
-    """Return whether a flow that is not known here may be passed on.
-
-    The upstream knows best whether it holds an open one, so only new flows
-    are kept from it.
-    """
-    if kind != EnvelopeKind.OPEN:
-        return True
-    if state.stopping_since is not None:
-        return False
-    return len(state.flows) < defaults.MAX_FLOWS
-
-
-def _miss(event: EnvelopeArrived) -> SendToBalancer:
+def _miss(state: AgentState, event: EnvelopeArrived) -> SendToBalancer:
     envelope = event.envelope
-    return SendToBalancer(
+    return state.send(
         event.sender,
         EnvelopeKind.MISS,
-        envelope.hop,
         envelope.content,
+        envelope.hop,
     )
 
 
-def _tell_owned(host: str, key: bytes) -> SendToBalancer:
-    return SendToBalancer(host, EnvelopeKind.OWNED, 0, key)
-
-
 def _note_caller_packet(
     state: AgentState,
+    key: bytes,
     flow: Flow,
     datagram: bytes,
     now: float,
@@ -126,7 +117,8 @@
     if state.format.flags(datagram) & ENDS_FLOW:
         flow.ended = True
     if state.format.data_length(datagram):
-        state.start_request(flow, now)
+        state.openings.pop(key, None)
+        state.note_data(flow, state.format.sequence(datagram), now)
 
 
 def _take_upstream_packet(
@@ -153,11 +145,13 @@
         flow.ended = True
         state.end_request(flow, now)
     passed = SendToCaller(datagram)
+    released = release_held(state, now) if state.held else ()
     asked_by = flow.asked_by
     if asked_by is None:
-        return (passed,)
+        return (passed, *released)
     flow.asked_by = None
-    return passed, _tell_owned(asked_by, key)
+    owned = state.send(asked_by, EnvelopeKind.OWNED, key)
+    return (passed, owned, *released)
 
 
 def _take_bounce(state: AgentState, datagram: bytes) -> Effects:
@@ -171,7 +165,7 @@
     if host is None:
         return (Decided('drop_bounce_unknown_mark'),)
     bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
-    return SendToBalancer(host, EnvelopeKind.MISS, hop, packet), bounced
+    return state.send(host, EnvelopeKind.MISS, packet, hop), bounced
 
 
 def _handle_timer(state: AgentState, event: TimerFired) -> Effects:
@@ -179,13 +173,15 @@
     if now - state.swept_at >= defaults.SWEEP_SECONDS:
         state.swept_at = now
         _sweep(state, now)
+    _end_idle_openings(state, now)
+    released = release_held(state, now)
     report = state.make_report()
     waited = now - state.reported_at
     if report == state.reported and waited < defaults.REPORT_IDLE_SECONDS:
-        return ()
+        return released
     state.reported = report
     state.reported_at = now
-    return _report_to_all(state, now)
+    return (*released, *_report_to_all(state, now))
 
 
 def _report_to_all(state: AgentState, now: float) -> Effects:
@@ -211,6 +207,14 @@
         state.forget(key)
 
 
+def _end_idle_openings(state: AgentState, now: float) -> None:
+    """Free the room of new flows whose request never came."""
+    for key, flow in tuple(state.openings.items()):
+        if now - flow.opened > defaults.REQUEST_SECONDS:
+            state.openings.pop(key)
+            state.cancel_request(flow)
+
+
 def _choose_patience(flow: Flow) -> float:
     if flow.ended:
         return defaults.ENDED_SECONDS
@@ -222,7 +226,7 @@
 def _stop(state: AgentState, event: StopRequested) -> Effects:
     """Take no new flows, and say so at once."""
     state.stopping_since = event.now
-    return _report_to_all(state, event.now)
+    return (*give_back_all(state), *_report_to_all(state, event.now))
 
 
 _KIND_NAMES: Final = MappingProxyType({
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -152,9 +152,8 @@
         self._send(effect.datagram, (host, self.caller_port))
 
     def _send_to_balancer(self, effect: SendToBalancer) -> None:
-        host, kind, hop, content = effect
-        datagram = pack_envelope(kind, hop, self.state.service_tag, content)
-        self._send(datagram, (host, self.peer_port))
+        datagram = pack_envelope(effect.envelope)
+        self._send(datagram, (effect.host, self.peer_port))
 
     def _make_ready(self) -> Page:
         return _READY if self.state.stopping_since is None else _NOT_READY
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -1,18 +1,26 @@
 """State of a packet agent; its reducer alone changes it, in place."""
 
-from typing import Final
-
-from keelgap.packets.envelopes import LoadReport, compute_service_tag
+from typing import Final, NamedTuple
+
+from keelgap.packets.envelopes import (
+    Envelope,
+    EnvelopeKind,
+    LoadReport,
+    compute_service_tag,
+)
 from keelgap.packets.formats import PacketFormat
 from keelgap_agent.packets import defaults
+from keelgap_agent.packets.effects import SendToBalancer
 
-__all__ = ('AgentState', 'Balancers', 'Flow')
+__all__ = ('AgentState', 'Balancers', 'Flow', 'Held')
 
 #: A mark has 32 bits: the balancer's number, the hop, the kind.
 _HOP_SHIFT: Final = 8
 _NUMBER_SHIFT: Final = 16
 _OCTET: Final = 255
 _MAX_NUMBER: Final = 65535
+#: Sequence numbers begin anew after so many.
+_SEQUENCE_NUMBERS: Final = 1 << 32
 
 
 class Flow:
@@ -21,6 +29,7 @@
     __slots__ = (
         'asked_by',
         'busy_since',
+        'caller_sequence',
         'confirmed',
         'ended',
         'opened',
@@ -32,6 +41,8 @@
         self.opened = now
         #: Time of the last packet of either end.
         self.seen = now
+        #: Number of the latest data octets seen from the caller.
+        self.caller_sequence: int | None = None
         #: Whether the upstream sent a packet of it.
         self.confirmed = False
         #: Whether an end closed or reset it.
@@ -42,6 +53,15 @@
         self.asked_by: str | None = None
 
 
+class Held(NamedTuple):
+    """An opening packet that waits until the upstream has room."""
+
+    sender: str
+    envelope: Envelope
+    #: When the caller sent the first copy, by the number of this one.
+    opened: float
+
+
 class Balancers:
     """The balancers that send here, with a number each for marks."""
 
@@ -95,6 +115,11 @@
         self.balancers = Balancers()
         self.flows: dict[bytes, Flow] = {}
         self.busy = 0
+        #: New flows that wait for room, by their key.
+        self.held: dict[bytes, Held] = {}
+        #: New flows passed on, whose first request has not come.
+        self.openings: dict[bytes, Flow] = {}
+        self.slots = defaults.FIRST_SLOTS
         self.answer_seconds = 0.0
         self.refused = 0
         self.stopping_since: float | None = None
@@ -106,13 +131,40 @@
     def make_report(self) -> LoadReport:
         """Return what balancers should know now."""
         return LoadReport(
-            busy=self.busy,
+            busy=self.busy + len(self.held),
             flows=len(self.flows),
             answer_ms=int(self.answer_seconds * 1000),
             refused=self.refused,
             closed=self.stopping_since is not None,
         )
 
+    def send(
+        self,
+        host: str,
+        kind: EnvelopeKind,
+        content: bytes,
+        hop: int = 0,
+    ) -> SendToBalancer:
+        """Return the effect that sends an envelope to a balancer."""
+        envelope = Envelope(kind, hop, 0, self.service_tag, content)
+        return SendToBalancer(host, envelope)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether the upstream can start on another new flow."""
+        return self.busy < self.slots + defaults.EXTRA_SLOTS
+
+    def note_data(self, flow: Flow, sequence: int, now: float) -> None:
+        """Note data of a caller; copies of earlier data are no new work."""
+        latest = flow.caller_sequence
+        if latest is not None:
+            ahead = (sequence - latest) % _SEQUENCE_NUMBERS
+            if not 0 < ahead < _SEQUENCE_NUMBERS // 2:
+                return
+        flow.caller_sequence = sequence
+        if not flow.ended:
+            self.start_request(flow, now)
+
     def start_request(self, flow: Flow, now: float) -> None:
         """Note data of a caller: the upstream has work."""
         if flow.busy_since is None:
@@ -126,12 +178,17 @@
         weight = defaults.ANSWER_WEIGHT
         taken = now - flow.busy_since
         self.answer_seconds += weight * (taken - self.answer_seconds)
-        flow.busy_since = None
-        self.busy -= 1
+        self.cancel_request(flow)
+
+    def cancel_request(self, flow: Flow) -> None:
+        """Note that the upstream does not work on a flow's request."""
+        if flow.busy_since is not None:
+            flow.busy_since = None
+            self.busy -= 1
 
-    def forget(self, key: bytes) -> Flow | None:
+    def forget(self, key: bytes) -> None:
         """Drop a flow."""
+        self.openings.pop(key, None)
         flow = self.flows.pop(key, None)
-        if flow is not None and flow.busy_since is not None:
-            self.busy -= 1
-        return flow
+        if flow is not None:
+            self.cancel_request(flow)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from keelgap.packets.envelopes import Envelope
+
 __all__ = ('Decided', 'PacketEffect', 'SendReset', 'SendToAgent')
 
 
@@ -9,10 +11,7 @@
     """Send an envelope to the agent on a host."""
 
     host: str
-    kind: int
-    hop: int
-    service_tag: int
-    content: bytes
+    envelope: Envelope
 
 
 class SendReset(NamedTuple):
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -16,7 +16,6 @@
     Decided,
     PacketEffect,
     SendReset,
-    SendToAgent,
 )
 from keelgap_balancer.packets.events import (
     CallerPacket,
@@ -80,8 +79,7 @@
 
 
 def _forward(owner: AgentView, datagram: bytes) -> Effects:
-    kind = EnvelopeKind.FORWARD
-    return (SendToAgent(owner.host, kind, 0, owner.service_tag, datagram),)
+    return (owner.send(EnvelopeKind.FORWARD, datagram),)
 
 
 def _open_flow(
@@ -144,9 +142,7 @@
     now: float,
 ) -> Effects:
     taker.expect_answer(now)
-    kind = EnvelopeKind.OPEN
-    tag = taker.service_tag
-    return (SendToAgent(taker.host, kind, hop, tag, datagram),)
+    return (taker.send(EnvelopeKind.OPEN, datagram, hop),)
 
 
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
@@ -206,13 +202,16 @@
     route = _find_route(state, datagram)
     if route is None:
         return (Decided('drop_unknown_route'),)
-    if state.owners.get(key) is view:
-        state.owners.forget(key)
-    if state.format.flags(datagram) & _SYN:
-        return _place_elsewhere(state, route, key, datagram, event, view)
     owner = state.owners.get(key)
+    if owner is view:
+        state.owners.forget(key)
+        owner = None
+    is_opening = state.format.flags(datagram) & _SYN
     if owner is not None:
-        return _forward(owner, datagram)
+        # Another choice stands; a second one would lose the first's answer.
+        return () if is_opening else _forward(owner, datagram)
+    if is_opening:
+        return _place_elsewhere(state, route, key, datagram, event, view)
     search = state.searches.setdefault(key, Search(event.now))
     search.missed.add(view.host)
     if search.pending not in {None, view.host}:
@@ -253,14 +252,12 @@
 def _greet(state: PacketState, now: float) -> Effects:
     """Keep the reports of agents coming."""
     effects = []
-    kind = EnvelopeKind.HELLO
     for view in state.by_host.values():
         if view.hello_at > now:
             continue
         view.hello_at = now + defaults.HELLO_SECONDS
         view.expect_answer(now)
-        tag = view.service_tag
-        effects.append(SendToAgent(view.host, kind, 0, tag, b''))
+        effects.append(view.send(EnvelopeKind.HELLO))
     return tuple(effects)
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -11,7 +11,6 @@
     Decided,
     PacketEffect,
     SendReset,
-    SendToAgent,
 )
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
 
@@ -76,10 +75,7 @@
     if view is None:
         return (Decided('search_agent_unknown'),)
     hop = min(len(search.asked), 255)
-    ask = SendToAgent(
-        host, EnvelopeKind.SEARCH, hop, view.service_tag, datagram
-    )
-    return (ask,)
+    return (view.send(EnvelopeKind.SEARCH, datagram, hop),)
 
 
 def _ask_again(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -169,11 +169,9 @@
             handlers[type(effect)](effect)
 
     def _send_to_agent(self, effect: SendToAgent) -> None:
-        host, kind, hop, tag, content = effect
-        datagram = pack_envelope(kind, hop, tag, content)
-        if not send_datagram(
-            self.peer_socket, datagram, (host, self.peer_port)
-        ):
+        datagram = pack_envelope(effect.envelope)
+        receiver = (effect.host, self.peer_port)
+        if not send_datagram(self.peer_socket, datagram, receiver):
             self.process.counters.count('send_failed')
 
     def _send_reset(self, effect: SendReset) -> None:
@@ -221,7 +219,9 @@
         if not self.catalog.state.complete:
             revision = 0
         content = self.peers.make_gossip(revision)
-        datagram = pack_envelope(EnvelopeKind.GOSSIP, 0, 0, content)
+        datagram = pack_envelope(
+            Envelope(EnvelopeKind.GOSSIP, 0, 0, 0, content),
+        )
         send_datagram(self.peer_socket, datagram, (host, self.peer_port))
 
     def _take_gossip(self, envelope: Envelope, host: str) -> None:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -1,9 +1,15 @@
 """State of a packet balancer; its reducer alone changes it, in place."""
 
 from keelgap.catalog.models import NO_CATALOG, PacketRoute, PacketUpstream
-from keelgap.packets.envelopes import LoadReport, compute_service_tag
+from keelgap.packets.envelopes import (
+    Envelope,
+    EnvelopeKind,
+    LoadReport,
+    compute_service_tag,
+)
 from keelgap.packets.formats import PacketFormat
 from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.effects import SendToAgent
 
 __all__ = ('AgentView', 'FlowOwners', 'PacketState', 'Search')
 
@@ -44,6 +50,17 @@
         #: Since when its entry is missing from the catalog.
         self.gone_since: float | None = None
 
+    def send(
+        self,
+        kind: EnvelopeKind,
+        content: bytes = b'',
+        hop: int = 0,
+    ) -> SendToAgent:
+        """Return the effect that sends an envelope to this agent."""
+        slots = self.upstream.slots
+        envelope = Envelope(kind, hop, slots, self.service_tag, content)
+        return SendToAgent(self.host, envelope)
+
     def note_heard(self, now: float) -> None:
         """Record any message of the agent."""
         self.last_heard = now
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -1,7 +1,7 @@
 """Messages between balancers and agents about packet flows.
 
-A datagram: kind (1 octet), hop (1), service tag (4, network order), then a
-packet, a flow key or a report.  A packet behind the head is at most 1,240
+A datagram: kind (1 octet), hop (1), slots (1), service tag (4, network
+order), then a packet, a flow key or a report.  A packet behind the head is at most 1,240
 octets, so nothing is fragmented.
 """
 
@@ -25,11 +25,12 @@
     'unpack_report',
 )
 
-_HEAD: Final = struct.Struct('!BBI')
+_HEAD: Final = struct.Struct('!BBBI')
 _REPORT: Final = struct.Struct('!HHHHB')
 HEAD_LENGTH: Final = _HEAD.size
 #: The highest value of a report's field.
 _MOST: Final = 65535
+_MOST_SLOTS: Final = 255
 
 
 class EnvelopeKind(IntEnum):
@@ -68,6 +69,8 @@
     kind: int
     #: How many agents were asked before this one.
     hop: int
+    #: Requests that the upstream runs at once, as a balancer knows; else 0.
+    slots: int
     #: Stands for the service that the sender means.
     service_tag: int
     content: bytes
@@ -76,7 +79,7 @@
 class LoadReport(NamedTuple):
     """What an agent knows of its own upstream."""
 
-    #: Requests at work or queued at the upstream.
+    #: Requests at work at the upstream, and new flows that wait for it.
     busy: int
     #: Open flows.
     flows: int
@@ -93,22 +96,18 @@
     return crc32(service.encode())
 
 
-def pack_envelope(
-    kind: int,
-    hop: int,
-    service_tag: int,
-    content: bytes,
-) -> bytes:
+def pack_envelope(envelope: Envelope) -> bytes:
     """Return the octets of an envelope."""
-    return _HEAD.pack(kind, hop, service_tag) + content
+    kind, hop, slots, service_tag, content = envelope
+    return _HEAD.pack(kind, hop, min(slots, _MOST_SLOTS), service_tag) + content
 
 
 def unpack_envelope(datagram: bytes) -> Envelope:
     """Return the envelope that a datagram holds; raise MalformedEnvelope."""
     if len(datagram) < HEAD_LENGTH or datagram[0] not in _KINDS:
         raise MalformedEnvelope(len(datagram))
-    kind, hop, service_tag = _HEAD.unpack_from(datagram)
-    return Envelope(kind, hop, service_tag, datagram[HEAD_LENGTH:])
+    kind, hop, slots, service_tag = _HEAD.unpack_from(datagram)
+    return Envelope(kind, hop, slots, service_tag, datagram[HEAD_LENGTH:])
 
 
 def pack_report(report: LoadReport) -> bytes:
--- a/packages/keelgap/src/keelgap/packets/formats.py
+++ b/packages/keelgap/src/keelgap/packets/formats.py
@@ -54,6 +54,8 @@
     flags: Callable[[bytes], int]
     #: Octets of data behind the header.
     data_length: Callable[[bytes], int]
+    #: Number of the first octet of data among all that its sender sends.
+    sequence: Callable[[bytes], int]
     #: How often the caller has sent this opening packet before.
     copies: Callable[[bytes], int]
     #: IPv4 address of the caller in a packet that the upstream sent.
