--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -2,23 +2,29 @@
 
 An upstream serves its queue in order, so after an outage everybody would be
 late: those who came back first, and all who come after them.  New flows wait
-here instead, and the one whose caller began last goes first: it can still be
-answered in time, while those that waited long are late in any case and get
-what room is left.  Nothing is held that is not meant to be served.
+here instead.  Those that can still be answered in time go first, by priority;
+those that waited long are late in any case and get what room is left.
+Nothing is held that is not meant to be served.
 """
 
+from collections.abc import Callable
+
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import (
     AgentEffect,
     Decided,
-    SendToBalancer,
     SendToUpstream,
 )
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.state import AgentState, Flow, Held
 
-__all__ = ('give_back_all', 'release_held', 'take_opening')
+__all__ = (
+    'forget_late',
+    'give_back_all',
+    'release_held',
+    'take_opening',
+)
 
 Effects = tuple[AgentEffect, ...]
 
@@ -34,35 +40,71 @@
     envelope = event.envelope
     if envelope.slots:
         state.slots = envelope.slots
-    if state.stopping_since is not None:
-        return _give_back(state, event, 'miss_closed')
-    if len(state.flows) >= defaults.MAX_FLOWS:
-        return _give_back(state, event, 'miss_full')
     copies = state.format.copies(envelope.content)
     copies = min(copies, len(defaults.COPY_SECONDS) - 1)
-    opened = event.now - defaults.COPY_SECONDS[copies]
-    held = Held(event.sender, envelope, opened)
+    waited = defaults.COPY_SECONDS[copies]
+    held = Held(
+        sender=event.sender,
+        envelope=envelope,
+        given_up=event.now + defaults.OPENING_SECONDS - waited,
+        in_time=event.now + envelope.left_ms / 1000 - state.answer_seconds,
+    )
+    if state.stopping_since is not None:
+        return _give_back(state, held, 'miss_closed')
+    if len(state.flows) >= defaults.MAX_FLOWS:
+        return _give_back(state, held, 'miss_full')
     if state.has_room and not state.held:
         return (_pass(state, key, held, event.now),)
-    if len(state.held) >= state.slots * defaults.HELD_PER_SLOT:
-        return _give_back(state, event, 'miss_queue_full')
     state.held[key] = held
-    return (Decided('held'), *release_held(state, event.now))
+    displaced: Effects = ()
+    if len(state.held) > state.slots * defaults.HELD_PER_SLOT:
+        last = min(state.held, key=_rank_held(state, event.now))
+        displaced = _give_back(
+            state,
+            state.held.pop(last),
+            'miss_queue_full',
+        )
+    return (
+        Decided('held'),
+        *displaced,
+        *release_held(state, event.now),
+    )
+
+
+def forget_late(state: AgentState, now: float) -> Effects:
+    """Drop new flows whose callers have given them up by now."""
+    late = [
+        key
+        for key, held in state.held.items()
+        if now >= held.given_up
+    ]
+    for key in late:
+        state.held.pop(key)
+    return tuple(Decided('held_too_long') for _ in late)
 
 
 def _give_back(
     state: AgentState,
-    event: EnvelopeArrived,
+    held: Held,
     reason: str,
 ) -> Effects:
-    envelope = event.envelope
+    envelope = held.envelope
     miss = state.send(
-        event.sender,
+        held.sender,
         EnvelopeKind.MISS,
         envelope.content,
         envelope.hop,
     )
-    return miss, Decided(reason)
+    fields = {
+        'flow': state.format.describe_key(
+            state.format.caller_key(envelope.content),
+        ),
+        'hop': envelope.hop,
+        'busy': state.busy,
+        'held': len(state.held),
+        'slots': state.slots,
+    }
+    return miss, Decided(reason, fields)
 
 
 def _pass(
@@ -81,29 +123,29 @@
     return SendToUpstream(state.format.with_mark(envelope.content, mark))
 
 
+def _rank_held(
+    state: AgentState,
+    now: float,
+) -> Callable[[bytes], tuple[bool, int, float]]:
+    return lambda key: state.held[key].rank(now)
+
+
 def release_held(state: AgentState, now: float) -> Effects:
-    """Pass on what the upstream has room for, the latest callers first."""
+    """Pass on what the upstream has room for, the first in rank first."""
     effects: list[AgentEffect] = []
     while state.held and state.has_room:
-        key = max(state.held, key=lambda one: state.held[one].opened)
+        key = max(state.held, key=_rank_held(state, now))
         held = state.held.pop(key)
-        if now - held.opened < defaults.OPENING_SECONDS:
-            effects.append(_pass(state, key, held, now))
-        else:
-            effects.append(Decided('held_too_long'))
+        effects.append(_pass(state, key, held, now))
     return tuple(effects)
 
 
-def give_back_all(state: AgentState) -> tuple[SendToBalancer, ...]:
+def give_back_all(state: AgentState) -> Effects:
     """Return all that waits to the balancers, who know other takers."""
     held = tuple(state.held.values())
     state.held.clear()
     return tuple(
-        state.send(
-            one.sender,
-            EnvelopeKind.MISS,
-            one.envelope.content,
-            one.envelope.hop,
-        )
+        effect
         for one in held
+        for effect in _give_back(state, one, 'miss_closed')
     )
--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -34,7 +34,7 @@
 SUBSCRIBED_SECONDS: Final = 3.0
 
 #: Weight of the latest answer in the mean time to an answer.
-ANSWER_WEIGHT: Final = 0.1
+ANSWER_WEIGHT: Final = 0.2
 
 #: Pause between sweeps of the flow table.
 SWEEP_SECONDS: Final = 1.0
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -12,6 +12,7 @@
 from keelgap.packets.formats import ENDS_FLOW, Flags
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.admission import (
+    forget_late,
     give_back_all,
     release_held,
     take_opening,
@@ -165,6 +166,14 @@
     if host is None:
         return (Decided('drop_bounce_unknown_mark'),)
     bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
+    if kind == EnvelopeKind.OPEN:
+        fields = {
+            'flow': state.format.describe_key(key),
+            'hop': hop,
+            'busy': state.busy,
+            'flows': len(state.flows),
+        }
+        bounced = bounced._replace(fields=fields)
     return state.send(host, EnvelopeKind.MISS, packet, hop), bounced
 
 
@@ -174,7 +183,7 @@
         state.swept_at = now
         _sweep(state, now)
     _end_idle_openings(state, now)
-    released = release_held(state, now)
+    released = (*forget_late(state, now), *release_held(state, now))
     report = state.make_report()
     waited = now - state.reported_at
     if report == state.reported and waited < defaults.REPORT_IDLE_SECONDS:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -58,8 +58,19 @@
 
     sender: str
     envelope: Envelope
-    #: When the caller sent the first copy, by the number of this one.
-    opened: float
+    #: When the caller gives this flow up, by the number of this copy.
+    given_up: float
+    #: Until when an answer is not late.
+    in_time: float
+
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Return the place in the queue; the highest goes first.
+
+        Those that can be answered in time come first, then those of high
+        priority, then those whose callers began last.
+        """
+        priority = self.envelope.priority
+        return now < self.in_time, -priority, self.in_time
 
 
 class Balancers:
@@ -146,7 +157,7 @@
         hop: int = 0,
     ) -> SendToBalancer:
         """Return the effect that sends an envelope to a balancer."""
-        envelope = Envelope(kind, hop, 0, self.service_tag, content)
+        envelope = Envelope(kind, hop, 0, 0, 0, self.service_tag, content)
         return SendToBalancer(host, envelope)
 
     @property
@@ -175,8 +186,9 @@
         """Note data of the upstream: it answers."""
         if flow.busy_since is None:
             return
-        weight = defaults.ANSWER_WEIGHT
         taken = now - flow.busy_since
+        # The first answer of all stands for itself.
+        weight = defaults.ANSWER_WEIGHT if self.answer_seconds else 1
         self.answer_seconds += weight * (taken - self.answer_seconds)
         self.cancel_request(flow)
 
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -0,0 +1,105 @@
+"""How long the caller of a new flow has been waiting already.
+
+A caller repeats its opening packet, and its packets count the copies; when it
+gives up, it opens a flow from another port.  Nothing in a packet says that
+two flows serve one request, but the second comes from the same host right
+after the first was given up or reset.  The guess orders those who wait for
+room; nobody is refused for it.
+"""
+
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+from keelgap_balancer.packets import defaults
+
+__all__ = ('CallerAges',)
+
+#: When a caller sends each copy of an opening packet, in seconds.
+_COPY_SECONDS: Final = (0, 0.2, 0.6)
+
+
+class _Opening(NamedTuple):
+    """A flow that was asked for and has not been seen to open."""
+
+    #: When the caller sent the first packet of this flow.
+    attempted: float
+    #: When it first asked for the request, as far as can be told.
+    requested: float
+
+
+class CallerAges:
+    """Openings that came to nothing yet, by the caller's host."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.openings: dict[bytes, _Opening] = {}
+        self.by_host: dict[bytes, list[bytes]] = {}
+
+    def note_opening(self, key: bytes, copies: int, now: float) -> float:
+        """Return for how many seconds the caller has waited."""
+        opening = self.openings.get(key)
+        if opening is None:
+            copies = min(copies, len(_COPY_SECONDS) - 1)
+            attempted = now - _COPY_SECONDS[copies]
+            requested = self._take_given_up(key, attempted)
+            opening = _Opening(attempted, requested)
+            if len(self.openings) < defaults.MAX_OPENINGS:
+                self._add(key, opening)
+        return now - opening.requested
+
+    def note_opened(self, key: bytes) -> None:
+        """Forget an opening: its flow goes on."""
+        if key in self.openings:
+            self._remove(key)
+
+    def note_reset(self, key: bytes, now: float) -> None:
+        """Expect the caller of a flow that is reset to come again."""
+        opening = self.openings.get(key)
+        requested = now - defaults.RESET_AGE_SECONDS
+        if opening is not None:
+            requested = opening.requested
+            self._remove(key)
+        given_up = now - defaults.GIVE_UP_SECONDS
+        self._add(key, _Opening(given_up, requested))
+
+    def expire(self, now: float) -> None:
+        """Forget those that were given up and did not come again."""
+        limit = now - defaults.GIVE_UP_SECONDS - defaults.RETRY_SECONDS
+        old = [
+            key
+            for key, opening in self.openings.items()
+            if opening.attempted < limit
+        ]
+        for key in old:
+            self._remove(key)
+
+    def _take_given_up(self, key: bytes, attempted: float) -> float:
+        """Return when the request began that this flow may be a retry of."""
+        limit = attempted - defaults.GIVE_UP_SECONDS
+        for other in self._list_others(key):
+            opening = self.openings[other]
+            if opening.attempted <= limit:
+                self._remove(other)
+                return opening.requested
+        return attempted
+
+    def _list_others(self, key: bytes) -> Iterator[bytes]:
+        return iter(tuple(self.by_host.get(_get_host(key), ())))
+
+    def _add(self, key: bytes, opening: _Opening) -> None:
+        if key not in self.openings:
+            self.by_host.setdefault(_get_host(key), []).append(key)
+        self.openings[key] = opening
+
+    def _remove(self, key: bytes) -> None:
+        self.openings.pop(key)
+        host = _get_host(key)
+        keys = self.by_host[host]
+        keys.remove(key)
+        if not keys:
+            self.by_host.pop(host)
+
+
+def _get_host(key: bytes) -> bytes:
+    """Return the octets of a flow key that are the caller's address."""
+    return key[:4]
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -4,15 +4,19 @@
 
 __all__ = (
     'FLOW_GENERATION_SECONDS',
+    'GIVE_UP_SECONDS',
     'GONE_SECONDS',
     'GOSSIP_SECONDS',
     'HELLO_SECONDS',
     'MAX_FLOWS',
     'MAX_GOSSIP_PEERS',
+    'MAX_OPENINGS',
     'MAX_SEARCHES',
     'PEER_SECONDS',
     'QUIET_SECONDS',
     'REMOTE_LOAD',
+    'RESET_AGE_SECONDS',
+    'RETRY_SECONDS',
     'ROUTERS_SECONDS',
     'SEARCH_SECONDS',
     'SEARCH_STEP_SECONDS',
@@ -30,6 +34,21 @@
 #: Owners kept; at 200 octets each this is 20 MB of the 64 MB a node may take.
 MAX_FLOWS: Final = 100000
 
+#: A caller gives an opening up after 1.4 s; a little less, since packets
+#: travel for different times.
+GIVE_UP_SECONDS: Final = 1.35
+
+#: How long after that its next try is taken for one.
+RETRY_SECONDS: Final = 1.0
+
+#: A caller whose open flow is reset has waited for about so long: it repeats
+#: its packet after 0.2 s, 0.6 s and 1.4 s.
+RESET_AGE_SECONDS: Final = 0.6
+
+#: Openings that are remembered for this; 10,000 are a flood or a minute's
+#: worth of new flows of one node at the size to design for.
+MAX_OPENINGS: Final = 10000
+
 #: Searches that may go on at once; more packets of unknown flows are dropped
 #: and come again, as their senders repeat them.
 MAX_SEARCHES: Final = 10000
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -1,6 +1,7 @@
 """Where a new flow goes."""
 
 from collections.abc import Container, Sequence
+from typing import Final, NamedTuple
 
 from xxhash import xxh3_64_intdigest
 
@@ -10,7 +11,16 @@
 
 __all__ = ('choose_service', 'choose_taker')
 
-_HASH_RANGE = float(1 << 64)
+_HASH_RANGE: Final = float(1 << 64)
+
+
+class _Typical(NamedTuple):
+    """What is usual among the candidates for a flow."""
+
+    #: Requests at work for each open flow.
+    duty: float
+    #: Median of the mean times to an answer, in milliseconds.
+    answer_ms: float
 
 
 def choose_service(route: PacketRoute, key: bytes) -> str:
@@ -52,13 +62,22 @@
     candidates = answering or members
     if not candidates:
         return None
-    duty = _compute_duty(candidates)
+    typical = _Typical(
+        _compute_duty(candidates),
+        _compute_median([view.report.answer_ms for view in candidates]),
+    )
     return min(
         candidates,
-        key=lambda view: _compute_cost(state, view, key, now, duty),
+        key=lambda view: _compute_cost(state, view, key, now, typical),
     )
 
 
+def _compute_median(numbers: list[int]) -> int:
+    """Return the lower median; importing statistics costs 20 ms of start."""
+    numbers.sort()
+    return numbers[(len(numbers) - 1) // 2]
+
+
 def _compute_duty(views: Sequence[AgentView]) -> float:
     """Return the requests at work for each open flow."""
     flows = sum(view.report.flows for view in views)
@@ -71,14 +90,18 @@
     view: AgentView,
     key: bytes,
     now: float,
-    duty: float,
+    typical: _Typical,
 ) -> tuple[float, int]:
     report = view.report
     slots: float = view.upstream.slots
     if now < view.warm_at:
         slots *= defaults.WARM_UP_SLOTS
-    expected = (report.busy + report.flows * duty) / 2 + view.picks
+    flows_at_work = report.flows * typical.duty
+    expected = (report.busy + flows_at_work) / 2 + view.picks
     cost = (expected + 1) / slots
+    if report.answer_ms > typical.answer_ms > 0:
+        # As many requests take as much longer here.
+        cost *= report.answer_ms / typical.answer_ms
     if view.upstream.availability_zone != state.availability_zone:
         cost += defaults.REMOTE_LOAD
     return cost, xxh3_64_intdigest(key, view.seed)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from keelgap.catalog.models import PacketRoute
 from keelgap.packets.envelopes import (
@@ -39,6 +39,17 @@
 _SYN: Final = int(Flags.SYN)
 
 
+class Opening(NamedTuple):
+    """The first packet of a flow, on its way to an agent."""
+
+    key: bytes
+    route: PacketRoute
+    datagram: bytes
+    now: float
+    #: How many agents were asked before.
+    hop: int
+
+
 def reduce(
     state: PacketState,
     event: PacketEvent,
@@ -54,6 +65,7 @@
     key = state.format.caller_key(datagram)
     if state.format.flags(datagram) & _SYN:
         return _open_flow(state, key, datagram, now)
+    state.ages.note_opened(key)
     owner = state.owners.get(key)
     if owner is not None and not _is_lost(owner, now):
         return _forward(owner, datagram)
@@ -98,10 +110,11 @@
         }
         return SendReset(datagram), Decided('reset_unknown_route', fields)
     owner = state.owners.get(key)
+    opening = Opening(key, route, datagram, now, 0)
     if owner is not None and _keeps_choice(owner, now):
-        return _offer(state, owner, 0, datagram, now)
+        return _offer(state, owner, opening)
     excluded = () if owner is None else (owner.host,)
-    return _place(state, route, key, datagram, now, excluded, 0)
+    return _place(state, opening, excluded)
 
 
 def _keeps_choice(owner: AgentView, now: float) -> bool:
@@ -111,38 +124,51 @@
 
 def _place(
     state: PacketState,
-    route: PacketRoute,
-    key: bytes,
-    datagram: bytes,
-    now: float,
+    opening: Opening,
     excluded: tuple[str, ...],
-    hop: int,
 ) -> Effects:
-    taker = choose_taker(state, route, key, now, excluded)
+    key = opening.key
+    taker = choose_taker(state, opening.route, key, opening.now, excluded)
     if taker is None:
-        state.searches.pop(key, None)
-        state.owners.forget(key)
-        fields = {
-            'flow': state.format.describe_key(key),
-            'route': route.name,
-            'asked': hop,
-            'revision': state.catalog.revision,
-        }
-        return SendReset(datagram), Decided('reset_no_taker', fields)
+        return _refuse(state, opening)
     state.owners.put(key, taker)
     taker.picks += 1
-    return _offer(state, taker, hop, datagram, now)
+    return _offer(state, taker, opening)
+
+
+def _refuse(state: PacketState, opening: Opening) -> Effects:
+    """Reset a new flow that nobody takes; it has not run."""
+    key = opening.key
+    state.searches.pop(key, None)
+    state.owners.forget(key)
+    state.ages.note_reset(key, opening.now)
+    fields = {
+        'flow': state.format.describe_key(key),
+        'route': opening.route.name,
+        'asked': opening.hop,
+        'revision': state.catalog.revision,
+    }
+    return SendReset(opening.datagram), Decided('reset_no_taker', fields)
 
 
 def _offer(
     state: PacketState,
     taker: AgentView,
-    hop: int,
-    datagram: bytes,
-    now: float,
+    opening: Opening,
 ) -> Effects:
+    now = opening.now
     taker.expect_answer(now)
-    return (taker.send(EnvelopeKind.OPEN, datagram, hop),)
+    copies = state.format.copies(opening.datagram)
+    waited = state.ages.note_opening(opening.key, copies, now)
+    left = opening.route.aim_seconds - waited
+    offer = taker.send(
+        EnvelopeKind.OPEN,
+        opening.datagram,
+        opening.hop,
+        opening.route.priority,
+        int(left * 1000),
+    )
+    return (offer,)
 
 
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
@@ -211,7 +237,9 @@
         # Another choice stands; a second one would lose the first's answer.
         return () if is_opening else _forward(owner, datagram)
     if is_opening:
-        return _place_elsewhere(state, route, key, datagram, event, view)
+        hop = event.envelope.hop + 1
+        opening = Opening(key, route, datagram, event.now, hop)
+        return _place_elsewhere(state, opening, view)
     search = state.searches.setdefault(key, Search(event.now))
     search.missed.add(view.host)
     if search.pending not in {None, view.host}:
@@ -222,18 +250,13 @@
 
 def _place_elsewhere(
     state: PacketState,
-    route: PacketRoute,
-    key: bytes,
-    datagram: bytes,
-    event: EnvelopeArrived,
+    opening: Opening,
     view: AgentView,
 ) -> Effects:
     """Offer a flow that its first choice did not take to the next."""
-    search = state.searches.setdefault(key, Search(event.now))
+    search = state.searches.setdefault(opening.key, Search(opening.now))
     search.missed.add(view.host)
-    hop = event.envelope.hop + 1
-    excluded = tuple(search.missed)
-    return _place(state, route, key, datagram, event.now, excluded, hop)
+    return _place(state, opening, tuple(search.missed))
 
 
 def _change_catalog(state: PacketState, event: CatalogChanged) -> Effects:
@@ -244,6 +267,7 @@
 def _handle_timer(state: PacketState, event: TimerFired) -> Effects:
     now = event.now
     state.owners.expire(now)
+    state.ages.expire(now)
     expire_searches(state, now)
     forget_gone(state, now)
     return _greet(state, now)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -104,6 +104,7 @@
 ) -> Effects:
     """Reset a flow that no upstream of its route holds."""
     state.searches.pop(key, None)
+    state.ages.note_reset(key, now)
     if not search.missed:
         return (Decided('search_without_upstream'),)
     fields = {
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -220,7 +220,7 @@
             revision = 0
         content = self.peers.make_gossip(revision)
         datagram = pack_envelope(
-            Envelope(EnvelopeKind.GOSSIP, 0, 0, 0, content),
+            Envelope(EnvelopeKind.GOSSIP, 0, 0, 0, 0, 0, content),
         )
         send_datagram(self.peer_socket, datagram, (host, self.peer_port))
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -9,6 +9,7 @@
 )
 from keelgap.packets.formats import PacketFormat
 from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.ages import CallerAges
 from keelgap_balancer.packets.effects import SendToAgent
 
 __all__ = ('AgentView', 'FlowOwners', 'PacketState', 'Search')
@@ -55,10 +56,19 @@
         kind: EnvelopeKind,
         content: bytes = b'',
         hop: int = 0,
+        priority: int = 0,
+        left_ms: int = 0,
     ) -> SendToAgent:
         """Return the effect that sends an envelope to this agent."""
-        slots = self.upstream.slots
-        envelope = Envelope(kind, hop, slots, self.service_tag, content)
+        envelope = Envelope(
+            kind,
+            hop,
+            self.upstream.slots,
+            priority,
+            left_ms,
+            self.service_tag,
+            content,
+        )
         return SendToAgent(self.host, envelope)
 
     def note_heard(self, now: float) -> None:
@@ -164,6 +174,7 @@
         self.by_host: dict[str, AgentView] = {}
         self.by_service: dict[str, tuple[AgentView, ...]] = {}
         self.owners = FlowOwners(now)
+        self.ages = CallerAges()
         self.searches: dict[bytes, Search] = {}
         self.last_caller_packet = now
         self.started = now
--- a/packages/keelgap/src/keelgap/catalog/models.py
+++ b/packages/keelgap/src/keelgap/catalog/models.py
@@ -38,6 +38,10 @@
     host: str
     port: int
     shares: tuple[Share, ...]
+    #: 0 goes first under overload.
+    priority: int = 0
+    #: Seconds within which an answer is worth its full price.
+    aim_seconds: float = 1.0
 
 
 class RouteSet(NamedTuple):
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -1,7 +1,7 @@
 """Messages between balancers and agents about packet flows.
 
-A datagram: kind (1 octet), hop (1), slots (1), service tag (4, network
-order), then a packet, a flow key or a report.  A packet behind the head is at most 1,240
+A datagram: kind (1 octet), hop (1), slots (1), priority (1), time left (2),
+service tag (4), all in network order, then a packet, a flow key or a report.  A packet behind the head is at most 1,240
 octets, so nothing is fragmented.
 """
 
@@ -25,12 +25,13 @@
     'unpack_report',
 )
 
-_HEAD: Final = struct.Struct('!BBBI')
+_HEAD: Final = struct.Struct('!BBBBhI')
 _REPORT: Final = struct.Struct('!HHHHB')
 HEAD_LENGTH: Final = _HEAD.size
 #: The highest value of a report's field.
 _MOST: Final = 65535
-_MOST_SLOTS: Final = 255
+_MOST_OCTET: Final = 255
+_MOST_LEFT: Final = 32767
 
 
 class EnvelopeKind(IntEnum):
@@ -71,6 +72,11 @@
     hop: int
     #: Requests that the upstream runs at once, as a balancer knows; else 0.
     slots: int
+    #: Of a new flow: 0 goes first under overload.
+    priority: int
+    #: Of a new flow: milliseconds until its answer would be late; below 0 it
+    #: is late already.
+    left_ms: int
     #: Stands for the service that the sender means.
     service_tag: int
     content: bytes
@@ -98,16 +104,22 @@
 
 def pack_envelope(envelope: Envelope) -> bytes:
     """Return the octets of an envelope."""
-    kind, hop, slots, service_tag, content = envelope
-    return _HEAD.pack(kind, hop, min(slots, _MOST_SLOTS), service_tag) + content
+    head = _HEAD.pack(
+        envelope.kind,
+        min(envelope.hop, _MOST_OCTET),
+        min(envelope.slots, _MOST_OCTET),
+        min(envelope.priority, _MOST_OCTET),
+        max(min(envelope.left_ms, _MOST_LEFT), -_MOST_LEFT),
+        envelope.service_tag,
+    )
+    return head + envelope.content
 
 
 def unpack_envelope(datagram: bytes) -> Envelope:
     """Return the envelope that a datagram holds; raise MalformedEnvelope."""
     if len(datagram) < HEAD_LENGTH or datagram[0] not in _KINDS:
         raise MalformedEnvelope(len(datagram))
-    kind, hop, slots, service_tag = _HEAD.unpack_from(datagram)
-    return Envelope(kind, hop, slots, service_tag, datagram[HEAD_LENGTH:])
+    return Envelope(*_HEAD.unpack_from(datagram), datagram[HEAD_LENGTH:])
 
 
 def pack_report(report: LoadReport) -> bytes:
--- a/packages/keelgap/src/keelgap/runtime/http.py
+++ b/packages/keelgap/src/keelgap/runtime/http.py
@@ -1,18 +1,33 @@
-"""HTTP/1.1 calls on the loop, one at a time."""
+"""HTTP/1.1 calls on the loop, one at a time.
+
+A library was measured first: h11 costs 0.035 processor seconds to import,
+a third of the balancer's start (docs/topics/platform.md).  This reads only
+what the platform's store and other balancers send: a status, headers and a
+body of stated length.  Everything else fails the call.
+"""
 
 import socket
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Final, NamedTuple
 
-import h11
-
 from keelgap.addresses import Address
+from keelgap.exceptions import KeelgapError
 from keelgap.runtime.loop import EventLoop
 
-__all__ = ('HttpAnswer', 'HttpClient')
+__all__ = (
+    'HEAD_END',
+    'HttpAnswer',
+    'HttpClient',
+    'MalformedAnswer',
+    'parse_answer',
+)
 
+HEAD_END: Final = b'\r\n\r\n'
 _CHUNK: Final = 262144
+#: Longest head of an answer, and longest body: a page of the store has 1 MB.
+_MAX_HEAD: Final = 16384
+_MAX_BODY: Final = 16 * 1024 * 1024
 #: A connection on which nothing comes is probed after so many seconds, and
 #: given up after so many silent probes, so that a waiting call on a path that
 #: was cut fails within 3 s.
@@ -21,6 +36,12 @@
 _UNACKNOWLEDGED_MILLISECONDS: Final = 2500
 
 
+class MalformedAnswer(KeelgapError):
+    """Octets that are no answer this client reads."""
+
+    code = 'malformed_answer'
+
+
 class HttpAnswer(NamedTuple):
     """What came of a call."""
 
@@ -31,9 +52,59 @@
     failure: str = ''
 
 
+class _ParsedAnswer(NamedTuple):
+    answer: HttpAnswer
+    #: Whether the server closes the connection after it.
+    closes: bool
+
+
 OnAnswer = Callable[[HttpAnswer], None]
 
 
+def parse_answer(received: bytes) -> _ParsedAnswer | None:
+    """Return a whole answer, or None while some of it is missing.
+
+    Raises MalformedAnswer.
+    """
+    head_length = received.find(HEAD_END)
+    if head_length < 0:
+        if len(received) > _MAX_HEAD:
+            raise MalformedAnswer(len(received))
+        return None
+    lines = received[:head_length].split(b'\r\n')
+    status = _parse_status(lines[0])
+    headers = _parse_headers(lines[1:])
+    length = headers.get(b'content-length', b'')
+    if not length.isdigit() or int(length) > _MAX_BODY:
+        raise MalformedAnswer(length)
+    start = head_length + len(HEAD_END)
+    end = start + int(length)
+    if len(received) < end:
+        return None
+    if len(received) > end:
+        raise MalformedAnswer(len(received) - end)
+    closes = headers.get(b'connection', b'').lower() == b'close'
+    return _ParsedAnswer(HttpAnswer(status, received[start:]), closes)
+
+
+def _parse_status(line: bytes) -> int:
+    version, _, rest = line.partition(b' ')
+    status = rest[:3]
+    if not version.startswith(b'HTTP/1.') or not status.isdigit():
+        raise MalformedAnswer(line)
+    return int(status)
+
+
+def _parse_headers(lines: list[bytes]) -> dict[bytes, bytes]:
+    headers = {}
+    for line in lines:
+        name, colon, text = line.partition(b':')
+        if not colon:
+            raise MalformedAnswer(line)
+        headers[name.strip().lower()] = text.strip()
+    return headers
+
+
 class HttpClient:
     """Calls to one address over a connection that is kept open."""
 
@@ -42,10 +113,8 @@
         self.loop = loop
         self.address = address
         self.sock: socket.socket | None = None
-        self.connection = h11.Connection(h11.CLIENT)
         self.on_answer: OnAnswer | None = None
-        self.status = 0
-        self.parts: list[bytes] = []
+        self.received = b''
         self.request = b''
         #: Tells the time-out of this call from those of earlier ones.
         self.calls = 0
@@ -56,13 +125,14 @@
             self.close()
         self.calls += 1
         self.on_answer = on_answer
-        self.status = 0
-        self.parts = []
+        self.received = b''
         call = self.calls
         self.loop.call_after(timeout, lambda: self._time_out(call))
         if self.sock is None:
-            self._connect()
-        self._send(target)
+            self.sock = self._connect()
+        head = f'GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n'
+        self.request = head.encode('ascii')
+        self.loop.add_writer(self.sock, self._write)
 
     def close(self) -> None:
         """Close the connection; a waiting call is forgotten."""
@@ -73,25 +143,14 @@
             self.loop.remove(sock)
             sock.close()
 
-    def _connect(self) -> None:
+    def _connect(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)  # noqa: WPS425
         _detect_silence(sock)
-        with suppress(BlockingIOError):
+        with suppress(OSError):
+            # A refusal shows at the first write.
             sock.connect(self.address)
-        self.sock = sock
-        self.connection = h11.Connection(h11.CLIENT)
-
-    def _send(self, target: str) -> None:
-        request = h11.Request(
-            method='GET',
-            target=target,
-            headers=[('Host', str(self.address))],
-        )
-        head = self.connection.send(request) or b''
-        self.request = head + (self.connection.send(h11.EndOfMessage()) or b'')
-        if self.sock is not None:
-            self.loop.add_writer(self.sock, self._write)
+        return sock
 
     def _write(self) -> None:
         sock = self.sock
@@ -113,46 +172,32 @@
         if sock is None:
             return
         try:
-            received = sock.recv(_CHUNK)
+            chunk = sock.recv(_CHUNK)
         except BlockingIOError:
             return
         except OSError as error:
             self._fail(type(error).__name__)
             return
+        if not chunk:
+            self._fail('closed')
+            return
+        self.received += chunk
         try:
-            self.connection.receive_data(received)
-            self._take_events()
-        except h11.RemoteProtocolError:
-            self._fail('malformed_answer' if received else 'closed')
-
-    def _take_events(self) -> None:
-        while self.sock is not None:
-            event = self.connection.next_event()
-            if isinstance(event, h11.Response):
-                self.status = event.status_code
-            elif isinstance(event, h11.Data):
-                self.parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._finish()
-                return
-            elif isinstance(event, h11.ConnectionClosed):
-                self._fail('closed')
-                return
-            else:
-                return
-
-    def _finish(self) -> None:
-        answer = HttpAnswer(self.status, b''.join(self.parts))
+            parsed = parse_answer(self.received)
+        except MalformedAnswer as error:
+            self._fail(error.code)
+            return
+        if parsed is not None:
+            self._finish(parsed)
+
+    def _finish(self, parsed: _ParsedAnswer) -> None:
         on_answer = self.on_answer
         self.on_answer = None
-        if self.connection.our_state is h11.DONE and (
-            self.connection.their_state is h11.DONE
-        ):
-            self.connection.start_next_cycle()
-        else:
+        self.received = b''
+        if parsed.closes or on_answer is None:
             self.close()
         if on_answer is not None:
-            on_answer(answer)
+            on_answer(parsed.answer)
 
     def _fail(self, reason: str) -> None:
         on_answer = self.on_answer
--- a/packages/keelgap/src/keelgap/runtime/pages.py
+++ b/packages/keelgap/src/keelgap/runtime/pages.py
@@ -1,7 +1,7 @@
-"""Small local pages over HTTP.
+"""Small local pages over HTTP: readiness, what is in force, metrics.
 
-The code that speaks HTTP is imported at the first call, so that a process
-that is seldom asked starts without it.
+As in ``keelgap.runtime.http``, no library is imported for it, because the
+routers' first question must be answered right after a start.
 """
 
 import socket
@@ -11,12 +11,18 @@
 
 from keelgap.addresses import Address
 from keelgap.exceptions import PortInUse
+from keelgap.runtime.http import HEAD_END
 from keelgap.runtime.loop import EventLoop
 
 __all__ = ('Page', 'Pages', 'serve_pages')
 
 #: Connections that may wait to be accepted.
 _BACKLOG: Final = 64
+_CHUNK: Final = 16384
+#: Longest head of a call; a connection that sends more is closed.
+_MAX_HEAD: Final = 16384
+#: Connections kept at once; the routers and a scraper need a few.
+_MAX_CONNECTIONS: Final = 256
 
 
 class Page(NamedTuple):
@@ -29,6 +35,9 @@
 
 Pages = dict[str, Callable[[], Page]]
 
+_NO_PAGE: Final = Page(404, 'text/plain', b'not found\n')
+_NO_METHOD: Final = Page(405, 'text/plain', b'only GET\n')
+
 
 def serve_pages(loop: EventLoop, address: Address, pages: Pages) -> None:
     """Answer GET calls for some paths until the process ends."""
@@ -41,19 +50,92 @@
         listener.close()
         raise PortInUse('pages', address.host, address.port) from error
     listener.listen(_BACKLOG)
+    connections: set[_Connection] = set()
 
     def accept() -> None:
         with suppress(OSError):
             sock, _ = listener.accept()
-            _serve(loop, sock, pages)
+            sock.setblocking(False)  # noqa: WPS425
+            if len(connections) >= _MAX_CONNECTIONS:
+                sock.close()
+                return
+            connection = _Connection(loop, sock, pages, connections.discard)
+            connections.add(connection)
+            connection.start()
 
     loop.add_reader(listener, accept)
 
 
-def _serve(loop: EventLoop, sock: socket.socket, pages: Pages) -> None:
-    from keelgap.runtime.page_connections import (  # noqa: PLC0415, WPS433
-        PageConnection,
+class _Connection:
+    """Answers one call after the other until the reader goes."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        sock: socket.socket,
+        pages: Pages,
+        on_close: Callable[['_Connection'], None],
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.pages = pages
+        self.on_close = on_close
+        self.received = b''
+        self.unsent = b''
+
+    def start(self) -> None:
+        """Wait for the first call."""
+        self.loop.add_reader(self.sock, self._read)
+
+    def _read(self) -> None:
+        try:
+            chunk = self.sock.recv(_CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            chunk = b''
+        self.received += chunk
+        if not chunk or len(self.received) > _MAX_HEAD:
+            self._close()
+            return
+        while HEAD_END in self.received:
+            head, _, self.received = self.received.partition(HEAD_END)
+            self.unsent += _render(self._choose_page(head))
+        if self.unsent:
+            self._write()
+
+    def _choose_page(self, head: bytes) -> Page:
+        words = head.split(b'\r\n', 1)[0].split()
+        if len(words) != 3 or words[0] != b'GET':
+            return _NO_METHOD
+        path = words[1].partition(b'?')[0].decode('ascii', 'replace')
+        make_page = self.pages.get(path)
+        return _NO_PAGE if make_page is None else make_page()
+
+    def _write(self) -> None:
+        try:
+            sent = self.sock.send(self.unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._close()
+            return
+        self.unsent = self.unsent[sent:]
+        if self.unsent:
+            self.loop.add_writer(self.sock, self._write)
+        else:
+            self.loop.add_reader(self.sock, self._read)
+
+    def _close(self) -> None:
+        self.loop.remove(self.sock)
+        self.sock.close()
+        self.on_close(self)
+
+
+def _render(page: Page) -> bytes:
+    head = (
+        f'HTTP/1.1 {page.status} -\r\n'
+        f'Content-Type: {page.content_type}\r\n'
+        f'Content-Length: {len(page.body)}\r\n\r\n'
     )
-
-    sock.setblocking(False)  # noqa: WPS425
-    PageConnection(loop, sock, pages).start()
+    return head.encode('ascii') + page.body
