--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -73,7 +73,7 @@
 
 #: What it costs to place a flow in another availability zone, as a share of
 #: an upstream's slots.  Set by measurement, see docs/topics/platform.md.
-REMOTE_LOAD: Final = 0.7
+REMOTE_LOAD: Final = 2.0
 
 #: Slots that count of an upstream that is still slow after its start, as a
 #: share: such upstreams take about 1.6 times as long.
