--- a/Makefile
+++ b/Makefile
@@ -55,4 +55,4 @@
 fuzz: $(STAMP)
 	KEELGAP_FUZZ=1 KEELGAP_SEED=$(SEED) $(BIN)/python -m unittest \
 		tests.agent.test_oracle tests.balancer.test_oracle \
-		tests.keelgap.test_oracle
+		tests.keelgap.test_oracle tests.packets.test_oracle
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -13,6 +13,7 @@
     'ISOLATED_SECONDS',
     'MAX_FLOWS',
     'MAX_GOSSIP_PEERS',
+    'MAX_HOPS',
     'MAX_OPENINGS',
     'MAX_SEARCHES',
     'PEER_SECONDS',
@@ -52,6 +53,9 @@
 #: worth of new flows of one node at the size to design for.
 MAX_OPENINGS: Final = 10000
 
+#: Agents that one packet may visit; a search asks each of a service once.
+MAX_HOPS: Final = 64
+
 #: Searches that may go on at once; more packets of unknown flows are dropped
 #: and come again, as their senders repeat them.
 MAX_SEARCHES: Final = 10000
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -96,6 +96,15 @@
     return (owner.send(EnvelopeKind.FORWARD, datagram),)
 
 
+def _forward_again(owner: AgentView, event: EnvelopeArrived) -> Effects:
+    """Pass on a packet that another agent denied, but not for ever."""
+    hop = event.envelope.hop + 1
+    if hop > defaults.MAX_HOPS:
+        return (Decided('drop_too_many_hops'),)
+    content = event.envelope.content
+    return (owner.send(EnvelopeKind.FORWARD, content, hop),)
+
+
 def _open_flow(
     state: PacketState,
     key: bytes,
@@ -236,13 +245,14 @@
     if route is None:
         return (Decided('drop_unknown_route'),)
     owner = state.owners.get(key)
-    if owner is view:
+    if owner is not None and owner.host == view.host:
+        # The owner may be an earlier upstream on the same host.
         state.owners.forget(key)
         owner = None
     is_opening = state.format.flags(datagram) & _SYN
     if owner is not None:
         # Another choice stands; a second one would lose the first's answer.
-        return () if is_opening else _forward(owner, datagram)
+        return () if is_opening else _forward_again(owner, event)
     if is_opening:
         hop = event.envelope.hop + 1
         opening = Opening(key, route, datagram, event.now, hop)
--- /dev/null
+++ b/tests/packets/machine.py
@@ -0,0 +1,419 @@
+"""A small world of balancers, agents, upstreams and callers, with an oracle.
+
+The programs' reducers are real; the network between them loses, doubles and
+reorders envelopes, processes restart without memory, upstreams crash, drain
+and leave, their hosts are used again by the other service, and every
+balancer learns of all that late.  The oracle knows the truth.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from keelgap.catalog.models import PacketRoute, PacketUpstream
+from keelgap.packets.envelopes import Envelope
+from keelgap_agent.packets import defaults as agent_defaults
+from keelgap_agent.packets import effects as agent_effects
+from keelgap_agent.packets import events as agent_events
+from keelgap_agent.packets import reducer as agent_reducer
+from keelgap_agent.packets.state import AgentState
+from keelgap_balancer.packets import defaults as balancer_defaults
+from keelgap_balancer.packets import effects as balancer_effects
+from keelgap_balancer.packets import events as balancer_events
+from keelgap_balancer.packets import reducer as balancer_reducer
+from keelgap_balancer.packets.state import FlowOwners, PacketState
+from tests.packets.building import (
+    ACK,
+    BOARD,
+    BOUNCED,
+    FORMAT,
+    PROOF,
+    RST,
+    SYN,
+    FlowName,
+    make_catalog,
+    make_packet,
+    make_upstream,
+)
+
+__all__ = ('PacketMachine',)
+
+BALANCERS: Final = ('10.1.0.1', '10.1.0.2')
+HOSTS: Final = (1, 2, 3, 4)
+ROUTES: Final = {'board': BOARD, 'proof': PROOF}
+#: Envelopes in flight beyond which the oldest are delivered first.
+_MOST_IN_FLIGHT: Final = 40
+#: Far more than a packet needs that visits every agent once.
+_MOST_DELIVERIES: Final = 2000
+
+
+class FakeUpstream:
+    """The truth about one start of an upstream."""
+
+    def __init__(self, row: PacketUpstream) -> None:
+        """Start without flows."""
+        self.row = row
+        #: Accepted, but the caller has not been heard since.
+        self.half_open: set[bytes] = set()
+        self.open: set[bytes] = set()
+        self.accepts = True
+
+    def answer(self, datagram: bytes) -> bytes | None:
+        """Return what the upstream sends for a packet."""
+        key = FORMAT.caller_key(datagram)
+        if datagram[26] & SYN:
+            if not self.accepts:
+                return _bounce(datagram)
+            self.half_open.add(key)
+            return _answer(key, SYN | ACK)
+        if key not in self.open | self.half_open:
+            return _bounce(datagram)
+        self.open.add(key)
+        return _answer(key, ACK, b'answer')
+
+
+def _bounce(datagram: bytes) -> bytes:
+    octets = bytearray(datagram)
+    octets[26] |= BOUNCED
+    return bytes(octets)
+
+
+def _answer(key: bytes, flags: int, data: bytes = b'') -> bytes:
+    caller = '.'.join(str(octet) for octet in reversed(key[:4]))
+    port = int.from_bytes(key[4:6], 'little')
+    host = '.'.join(str(octet) for octet in reversed(key[6:10]))
+    route = PacketRoute('', host, int.from_bytes(key[10:], 'little'), ())
+    name = FlowName(caller, port, route)
+    return make_packet(name, flags, back=True, data=data)
+
+
+class PacketMachine(RuleBasedStateMachine):
+    """Random faults; promises are checked after each step."""
+
+    @initialize()
+    def start(self) -> None:
+        """Start with two upstreams of each service."""
+        self.now = 1000.0
+        self.revision = 1
+        self.generation = 0
+        self.upstreams: dict[str, FakeUpstream] = {}
+        self.agents: dict[str, AgentState] = {}
+        self.listed: dict[str, PacketUpstream] = {}
+        self.in_flight: list[tuple[str, Any]] = []
+        self.flows: dict[bytes, FlowName] = {}
+        #: Flows whose opening packet some upstream accepted.
+        self.accepted: set[bytes] = set()
+        self.next_port = 1
+        #: Host that nothing reaches.
+        self.cut_off = ''
+        for number in HOSTS:
+            self._add_upstream(number, 'board' if number % 2 else 'proof')
+        self.balancers = {host: self._make_balancer() for host in BALANCERS}
+        for host in BALANCERS:
+            self.learn(host)
+
+    # What happens to the world.
+
+    @rule(number=st.sampled_from(HOSTS), reuse=st.booleans())
+    def crash(self, number: int, reuse: bool) -> None:  # noqa: FBT001
+        """Let an upstream crash; another starts on its host."""
+        old = self._get_upstream(number)
+        service = old.row.service
+        if reuse:
+            service = 'proof' if service == 'board' else 'board'
+        self.listed.pop(old.row.upstream_id)
+        self._add_upstream(number, service)
+
+    @rule(number=st.sampled_from(HOSTS))
+    def restart_agent(self, number: int) -> None:
+        """Restart an agent; its upstream lives on with its flows."""
+        upstream = self._get_upstream(number)
+        host = upstream.row.address.host
+        self.agents[host] = AgentState(FORMAT, upstream.row.service, self.now)
+
+    @rule(host=st.sampled_from(BALANCERS))
+    def restart_balancer(self, host: str) -> None:
+        """Restart a balancer; it learns the catalog at once."""
+        self.balancers[host] = self._make_balancer()
+        self.learn(host)
+
+    @rule(host=st.sampled_from(BALANCERS))
+    def learn(self, host: str) -> None:
+        """Let a balancer learn what is listed now."""
+        self.revision += 1
+        catalog = make_catalog(self.revision, self.listed.values())
+        event = balancer_events.CatalogChanged(self.now, catalog)
+        self._run_balancer(host, event)
+
+    @rule(number=st.sampled_from(HOSTS), accepts=st.booleans())
+    def fill(self, number: int, accepts: bool) -> None:  # noqa: FBT001
+        """Let an upstream refuse new flows, or take them again."""
+        self._get_upstream(number).accepts = accepts
+
+    @rule(number=st.sampled_from(HOSTS))
+    def lapse(self, number: int) -> None:
+        """Let a living upstream's entry go and come back in time."""
+        row = self._get_upstream(number).row
+        self.listed.pop(row.upstream_id, None)
+        for host in BALANCERS:
+            self.learn(host)
+        self.advance(balancer_defaults.GONE_SECONDS / 2)
+        # The routers move all flows, and a balancer must find them.
+        self.balancers[BALANCERS[0]].owners = FlowOwners(self.now)
+        for key in sorted(self.accepted & self.flows.keys()):
+            if key not in self.flows:
+                continue
+            packet = make_packet(self.flows[key], ACK, data=b'GET')
+            self._send(BALANCERS[0], packet)
+            self.deliver_all()
+        self.listed[row.upstream_id] = row
+        for host in BALANCERS:
+            self.learn(host)
+
+    @rule(number=st.sampled_from(HOSTS))
+    def cut(self, number: int) -> None:
+        """Cut an agent off while callers speak, and balancers search."""
+        self.deliver_all()
+        self.cut_off = f'10.0.0.{number}'
+        self.balancers[BALANCERS[0]].owners = FlowOwners(self.now)
+        for key in sorted(self.accepted & self.flows.keys()):
+            for _ in range(len(HOSTS)):
+                if key not in self.flows:
+                    break
+                packet = make_packet(self.flows[key], ACK, data=b'GET')
+                self._send(BALANCERS[0], packet)
+                self.deliver_all()
+                self.advance(balancer_defaults.SEARCH_STEP_SECONDS)
+        self.cut_off = ''
+
+    @rule(seconds=st.sampled_from((0.05, 0.2, 0.5, 1.4)))
+    def advance(self, seconds: float) -> None:
+        """Let time pass, with the timers of all."""
+        self.now += seconds
+        for host in BALANCERS:
+            event = balancer_events.TimerFired(self.now)
+            self._run_balancer(host, event)
+        for host in tuple(self.agents):
+            self._run_agent(host, agent_events.TimerFired(self.now))
+
+    @rule(data=st.data())
+    def deliver(self, data: st.DataObject) -> None:
+        """Deliver some envelopes in any order; lose and double some."""
+        for _ in range(len(self.in_flight)):
+            if not self.in_flight:
+                return
+            index = data.draw(st.integers(0, len(self.in_flight) - 1))
+            receiver, run = self.in_flight.pop(index)
+            fate = data.draw(st.integers(0, 9))
+            if fate == 0:
+                continue
+            self._deliver(receiver, run)
+            if fate == 1:
+                self._deliver(receiver, run)
+
+    @rule()
+    def deliver_all(self) -> None:
+        """Deliver everything in order; nothing goes round for ever."""
+        for _ in range(_MOST_DELIVERIES):
+            if not self.in_flight:
+                return
+            receiver, run = self.in_flight.pop(0)
+            self._deliver(receiver, run)
+        raise AssertionError('a packet goes round')
+
+    # What callers do.
+
+    @rule(
+        service=st.sampled_from(('board', 'proof')),
+        host=st.sampled_from(BALANCERS),
+        copies=st.integers(0, 2),
+    )
+    def open(self, service: str, host: str, copies: int) -> None:
+        """Send an opening packet, and perhaps copies of it."""
+        flow = FlowName('100.64.0.7', self.next_port, ROUTES[service])
+        self.next_port += 1
+        self.flows[flow.key] = flow
+        for copy in range(copies + 1):
+            packet = make_packet(flow, SYN, ack=copy)
+            self._send(host, packet)
+
+    @rule(data=st.data(), host=st.sampled_from(BALANCERS))
+    def speak(self, data: st.DataObject, host: str) -> None:
+        """Send data on a flow that was accepted, through any balancer."""
+        known = sorted(self.accepted & self.flows.keys())
+        if not known:
+            return
+        key = data.draw(st.sampled_from(known))
+        seq = data.draw(st.integers(1, 9))
+        packet = make_packet(self.flows[key], ACK, seq=seq, data=b'GET')
+        self._send(host, packet)
+
+    @rule(data=st.data(), host=st.sampled_from(BALANCERS))
+    def find_again(self, data: st.DataObject, host: str) -> None:
+        """An open flow reaches its upstream through any balancer."""
+        held = [key for key in sorted(self.flows) if self._find_holders(key)]
+        if not held:
+            return
+        self.deliver_all()
+        self.learn(host)
+        key = data.draw(st.sampled_from(held))
+        for _ in range(2 * len(HOSTS) + 2):
+            self.reached: list[bytes] = []
+            packet = make_packet(self.flows[key], ACK, data=b'GET')
+            self._send(host, packet)
+            self.deliver_all()
+            if key in self.reached or key not in self.flows:
+                return
+            self.advance(0.2)
+        raise AssertionError('an open flow was not found')
+
+    @rule(data=st.data(), host=st.sampled_from(BALANCERS))
+    def bury(self, data: st.DataObject, host: str) -> None:
+        """A flow that no upstream holds is reset at its next packet.
+
+        Not without any upstream of its service: its entry may have lapsed.
+        """
+        services = {row.service for row in self.listed.values()}
+        served = {ROUTES[service] for service in services}
+        lost = [
+            key
+            for key in sorted(self.accepted & self.flows.keys())
+            if not self._find_holders(key)
+            and not self._is_half_open(key)
+            and self.flows[key].route in served
+        ]
+        if not lost:
+            return
+        self.deliver_all()
+        self.advance(balancer_defaults.SEARCH_SECONDS + 0.1)
+        self.learn(host)
+        self.deliver_all()
+        key = data.draw(st.sampled_from(lost))
+        if key not in self.flows or self._is_half_open(key):
+            return
+        self._send(host, make_packet(self.flows[key], ACK, data=b'GET'))
+        self.deliver_all()
+        assert key not in self.flows, 'a dead flow lives on'  # noqa: S101
+
+    # What must hold.
+
+    @invariant()
+    def memory_is_bounded(self) -> None:
+        """Agents count their work right."""
+        for agent in getattr(self, 'agents', {}).values():
+            busy = sum(
+                flow.busy_since is not None for flow in agent.flows.values()
+            )
+            assert agent.busy == busy  # noqa: S101
+            most = agent.slots * agent_defaults.HELD_PER_SLOT
+            assert len(agent.held) <= most  # noqa: S101
+
+    def _check_reset(self, datagram: bytes) -> None:
+        key = FORMAT.caller_key(datagram)
+        if not datagram[26] & SYN:
+            holders = self._find_holders(key)
+            assert not holders, 'a living flow was reset'  # noqa: S101
+        self.flows.pop(key, None)
+
+    def _check_passed(self, upstream: FakeUpstream, datagram: bytes) -> None:
+        key = FORMAT.caller_key(datagram)
+        route = FORMAT.route_key(datagram)
+        allowed = ROUTES[upstream.row.service]
+        expected = FORMAT.make_route_key(allowed.host, allowed.port)
+        if datagram[26] & SYN:
+            assert route == expected, 'another service'  # noqa: S101
+        flow = self.flows.get(key)
+        if flow is not None and datagram[26] & SYN:
+            clean = FORMAT.without_bounce(datagram)
+            copies = FORMAT.copies(datagram)
+            sent = make_packet(flow, SYN, ack=copies)
+            assert clean == sent, 'changed on its way'  # noqa: S101
+
+    # How the world works.
+
+    def _add_upstream(self, number: int, service: str) -> None:
+        self.generation += 1
+        row = make_upstream(number, service, generation=self.generation)
+        host = row.address.host
+        self.upstreams[host] = FakeUpstream(row)
+        self.agents[host] = AgentState(FORMAT, service, self.now)
+        self.listed[row.upstream_id] = row
+
+    def _get_upstream(self, number: int) -> FakeUpstream:
+        return self.upstreams[f'10.0.0.{number}']
+
+    def _find_holders(self, key: bytes) -> list[str]:
+        return [
+            host
+            for host, upstream in self.upstreams.items()
+            if key in upstream.open
+        ]
+
+    def _is_half_open(self, key: bytes) -> bool:
+        return any(key in one.half_open for one in self.upstreams.values())
+
+    def _make_balancer(self) -> PacketState:
+        return PacketState(FORMAT, 'a', self.now)
+
+    def _send(self, host: str, packet: bytes) -> None:
+        event = balancer_events.CallerPacket(self.now, packet)
+        self._run_balancer(host, event)
+
+    def _run_balancer(self, host: str, event: Any) -> None:
+        state, effects = balancer_reducer.reduce(self.balancers[host], event)
+        self.balancers[host] = state
+        for effect in effects:
+            if isinstance(effect, balancer_effects.SendToAgent):
+                self._post(effect.host, host, effect.envelope)
+            elif isinstance(effect, balancer_effects.SendReset):
+                self._check_reset(effect.datagram)
+
+    def _run_agent(self, host: str, event: Any) -> None:
+        state, effects = agent_reducer.reduce(self.agents[host], event)
+        self.agents[host] = state
+        for effect in effects:
+            if isinstance(effect, agent_effects.SendToBalancer):
+                self._post(effect.host, host, effect.envelope)
+            elif isinstance(effect, agent_effects.SendToUpstream):
+                self._pass(host, effect.datagram)
+
+    def _pass(self, host: str, datagram: bytes) -> None:
+        upstream = self.upstreams[host]
+        self._check_passed(upstream, datagram)
+        answer = upstream.answer(datagram)
+        if answer is None:
+            return
+        if not answer[26] & (BOUNCED | RST):
+            key = FORMAT.upstream_key(answer)
+            self.accepted.add(key)
+            self.reached = [*getattr(self, 'reached', ()), key]
+        self._run_agent(host, agent_events.UpstreamPacket(self.now, answer))
+
+    def _post(self, receiver: str, sender: str, envelope: Envelope) -> None:
+        def run() -> None:
+            if receiver in self.balancers:
+                arrived = balancer_events.EnvelopeArrived(
+                    self.now, sender, envelope
+                )
+                self._run_balancer(receiver, arrived)
+            else:
+                self._run_agent(
+                    receiver,
+                    agent_events.EnvelopeArrived(self.now, sender, envelope),
+                )
+
+        self.in_flight.append((receiver, run))
+        if len(self.in_flight) > _MOST_IN_FLIGHT:
+            self._deliver(*self.in_flight.pop(0))
+
+    def _deliver(self, receiver: str, run: Callable[[], None]) -> None:
+        known = receiver in self.balancers or receiver in self.agents
+        if known and receiver != self.cut_off:
+            run()
--- a/tests/packets/test_balancer.py
+++ b/tests/packets/test_balancer.py
@@ -278,6 +278,21 @@
             effects = self.answer(host, EnvelopeKind.MISS, packet)
         self.assertEqual(effects, [SendReset(packet)])
 
+    def test_later_upstream_on_the_owners_host_denies_its_flow(self) -> None:
+        """The packet once went round between the two for ever.
+
+        Found by the stateful test: an upstream crashed, another started on
+        its host, and the balancer forwarded to the host of the first.
+        """
+        (offer,) = self.send(SYN)
+        number = int(offer.host[-1])
+        others = [one for one in self.boards if one.address.host != offer.host]
+        again = make_upstream(number, generation=1)
+        self.change(make_catalog(2, [*others, again]))
+        packet = make_packet(FLOW, ACK)
+        (effect,) = self.answer(offer.host, EnvelopeKind.MISS, packet)
+        self.assertNotEqual(effect.host, offer.host)
+
     def test_memory_is_bounded_under_floods(self) -> None:
         """Of opening packets and of packets of unknown flows."""
         for number in range(defaults.MAX_SEARCHES + 500):
--- /dev/null
+++ b/tests/packets/test_oracle.py
@@ -0,0 +1,130 @@
+"""Packet flows keep their promises under random faults."""
+
+from typing import Any
+from unittest import TestCase, mock
+
+from keelgap_agent.packets import admission
+from keelgap_agent.packets import reducer as agent_reducer
+from keelgap_balancer.packets import membership, search
+from keelgap_balancer.packets import reducer as balancer_reducer
+from tests.fuzzing import run_machine
+from tests.packets.machine import PacketMachine
+
+EXAMPLES = 60
+STEPS = 40
+
+
+def ask_only_once(
+    state: Any,
+    found: Any,
+    unanswered: Any,
+    datagram: bytes,
+    now: float,
+) -> Any:
+    """Stand in for a search that takes silence for a no."""
+    route = balancer_reducer._find_route(state, datagram)  # noqa: WPS437
+    key = state.format.caller_key(datagram)
+    found.missed.add('nobody')
+    return search._give_verdict(  # noqa: WPS437
+        state, route, found, key, datagram, now
+    )
+
+
+def forget_at_once(state: Any, now: float) -> None:
+    """Stand in for a balancer that drops an upstream with its entry."""
+    gone = [
+        upstream_id
+        for upstream_id, view in state.agents.items()
+        if view.gone_since is not None
+    ]
+    for upstream_id in gone:
+        state.agents.pop(upstream_id)
+    membership._index(state)  # noqa: WPS437
+
+
+def pass_any_service(state: Any, event: Any) -> Any:
+    """Stand in for an agent that does not compare the service."""
+    tagged = event.envelope._replace(service_tag=state.service_tag)
+    return take_packet(state, event._replace(envelope=tagged))
+
+
+def keep_lost_flow(state: Any, event: Any, view: Any) -> Any:
+    """Stand in for a balancer that ignores an owner's no."""
+    return ()
+
+
+def count_twice(state: Any, key: bytes, held: Any, now: float) -> Any:
+    """Stand in for an agent that counts a new flow twice."""
+    state.busy += 1
+    return pass_opening(state, key, held, now)
+
+
+def hold_without_bound(state: Any, key: bytes, event: Any) -> Any:
+    """Stand in for an agent that forgets whom it holds at a copy."""
+    state.flows.pop(key, None)
+    return take_opening(state, key, event)
+
+
+def never_answer(state: Any, event: Any) -> Any:
+    """Stand in for an agent that drops what its upstream bounced."""
+    return ()
+
+
+take_packet = agent_reducer._take_packet  # noqa: WPS437
+pass_opening = admission._pass  # noqa: WPS437
+take_opening = admission.take_opening
+
+DELIBERATE_FAULTS = {
+    'silence that counts as a no': (search, '_ask_again', ask_only_once),
+    'an upstream forgotten with its entry': (
+        balancer_reducer,
+        'forget_gone',
+        forget_at_once,
+    ),
+    'a wrong count of work': (admission, '_pass', count_twice),
+}
+HANDLER_FAULTS = {
+    'a packet for another service': (
+        agent_reducer._ENVELOPE_HANDLERS,  # noqa: WPS437
+        pass_any_service,
+        (2,),
+    ),
+    'an owner whose no is ignored': (
+        balancer_reducer._ENVELOPE_HANDLERS,  # noqa: WPS437
+        keep_lost_flow,
+        (4,),
+    ),
+    'a search that nobody answers': (
+        agent_reducer._ENVELOPE_HANDLERS,  # noqa: WPS437
+        never_answer,
+        (3,),
+    ),
+}
+
+
+class OracleTests(TestCase):
+    """Random sessions against the oracle."""
+
+    def test_promises_hold_under_random_faults(self) -> None:
+        """No session breaks one."""
+        run_machine(PacketMachine, EXAMPLES, STEPS)
+
+    def test_every_deliberate_fault_is_found(self) -> None:
+        """A fuzzer that cannot fail proves nothing."""
+        for name, (owner, attribute, stand_in) in DELIBERATE_FAULTS.items():
+            patch = mock.patch.object(owner, attribute, stand_in)
+            with self.subTest(name), patch, self.assertRaises(AssertionError):
+                run_machine(PacketMachine, 400, STEPS, shrink=False)
+
+    def test_every_fault_of_a_handler_is_found(self) -> None:
+        """Handlers stand in a table that is read only."""
+        for name, (table, stand_in, kinds) in HANDLER_FAULTS.items():
+            changed = {**table, **dict.fromkeys(kinds, stand_in)}
+            module = (
+                agent_reducer
+                if table is agent_reducer._ENVELOPE_HANDLERS  # noqa: WPS437
+                else balancer_reducer
+            )
+            patch = mock.patch.object(module, '_ENVELOPE_HANDLERS', changed)
+            with self.subTest(name), patch, self.assertRaises(AssertionError):
+                run_machine(PacketMachine, 400, STEPS, shrink=False)
