--- a/experiments/flows.py
+++ b/experiments/flows.py
@@ -16,7 +16,7 @@
 from keelgap.addresses import Address
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
 from keelgap.wire.packets import CONNECTION_ID_LENGTH
-from keelgap_agent.quic import AgentQuicConnection, HandshakeIds
+from keelgap_agent.quic.protocol import AgentQuicConnection, HandshakeIds
 from keelgap_standins.certificates import write_certificate
 
 __all__ = ('make_flows',)
--- a/experiments/load_model.py
+++ b/experiments/load_model.py
@@ -16,11 +16,11 @@
 from keelgap.routing.rendezvous import Weighted, rank
 from keelgap.table import Service, Table, TrafficClass, Upstream
 from keelgap_agent import effects, events
-from keelgap_agent.outcomes import Outcome, OutcomeKind, StoredAnswer
-from keelgap_agent.problems import Problem
 from keelgap_agent.reducer import reduce
+from keelgap_agent.requests.outcomes import Outcome, OutcomeKind, StoredAnswer
+from keelgap_agent.requests.problems import Problem
+from keelgap_agent.requests.tickets import TicketCodec
 from keelgap_agent.state import AgentIdentity, AgentState
-from keelgap_agent.tickets import TicketCodec
 
 __all__ = ('LoadModel', 'Policy', 'Scenario')
 
--- a/experiments/retries.py
+++ b/experiments/retries.py
@@ -12,7 +12,7 @@
 import fire
 import msgspec
 
-from keelgap_agent.problems import Problem
+from keelgap_agent.requests.problems import Problem
 from tests.agent.fakes import SUBMISSION, Agent, World
 
 _SUBMISSIONS: Final = 2000
--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -46,8 +46,8 @@
 )
 from keelgap.routing.connection_ids import ConnectionIdCodec
 from keelgap.wire.encapsulation import Envelope, EnvelopeCodec, MessageKind
-from keelgap_agent.ledger import EntryState, Ledger, LedgerKey
-from keelgap_agent.outcomes import StoredAnswer
+from keelgap_agent.requests.ledger import EntryState, Ledger, LedgerKey
+from keelgap_agent.requests.outcomes import StoredAnswer
 from keelgap_balancer.events import InstancesChanged, TableChanged, TimerFired
 from keelgap_balancer.reducer import reduce
 from keelgap_balancer.state import BalancerState
--- a/packages/keelgap-agent/src/keelgap_agent/drain.py
+++ b/packages/keelgap-agent/src/keelgap_agent/drain.py
@@ -1,7 +1,6 @@
 """Leaving: by table row, platform's list, the upstream's word or signal."""
 
 from keelgap_agent import defaults
-from keelgap_agent.admission import admit
 from keelgap_agent.effects import (
     AgentEffect,
     Exit,
@@ -13,6 +12,7 @@
     TableChanged,
     UpstreamStateRead,
 )
+from keelgap_agent.requests.admission import admit
 from keelgap_agent.state import AgentState, LeaveCause
 
 __all__ = (
--- a/packages/keelgap-agent/src/keelgap_agent/driver.py
+++ b/packages/keelgap-agent/src/keelgap_agent/driver.py
@@ -4,29 +4,27 @@
 from collections.abc import Callable, Iterator
 from itertools import count
 from types import MappingProxyType
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from keelgap.addresses import Address
-from keelgap.control.channel import ControlChannel
 from keelgap.control.messages import Answer, Ask
 from keelgap_agent import effects, events
-from keelgap_agent.connections import CallerConnection, ConnectionHooks
 from keelgap_agent.defaults import TIMER_SECONDS
-from keelgap_agent.flow_effects import FlowEffects
-from keelgap_agent.flow_table import FlowTable, Offer
-from keelgap_agent.metrics import AgentMetrics
-from keelgap_agent.peer_requests import (
+from keelgap_agent.flows.flow_effects import FlowEffects
+from keelgap_agent.ports import AgentPorts
+from keelgap_agent.quic.connections import CallerConnection, ConnectionHooks
+from keelgap_agent.quic.flow_table import Offer
+from keelgap_agent.quic.streams import CallerStream
+from keelgap_agent.reducer import reduce
+from keelgap_agent.requests.peer_requests import (
     PeerRequest,
     read_answer,
     read_problem,
 )
-from keelgap_agent.reducer import reduce
-from keelgap_agent.request_effects import RequestEffects
+from keelgap_agent.requests.request_effects import RequestEffects
 from keelgap_agent.state import AgentState, LeaveCause
-from keelgap_agent.streams import CallerStream
-from keelgap_agent.upstream import UpstreamClient
 
-__all__ = ('AgentDriver', 'AgentPorts', 'count_requests')
+__all__ = ('AgentDriver', 'count_requests')
 
 
 #: Room for the requests of one incarnation: a million a millisecond of life.
@@ -42,15 +40,6 @@
     return count((incarnation << _REQUEST_BITS) + 1)
 
 
-class AgentPorts(NamedTuple):
-    """What the driver acts through."""
-
-    flows: FlowTable
-    upstream: UpstreamClient
-    control: ControlChannel
-    metrics: AgentMetrics
-
-
 class AgentDriver:
     """Run the reducer against connections, the upstream and peers."""
 
--- a/packages/keelgap-agent/src/keelgap_agent/effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/effects.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from keelgap.addresses import Address
-from keelgap_agent.outcomes import StoredAnswer
-from keelgap_agent.problems import Problem
+from keelgap_agent.requests.outcomes import StoredAnswer
+from keelgap_agent.requests.problems import Problem
 
 __all__ = (
     'AgentEffect',
--- a/packages/keelgap-agent/src/keelgap_agent/events.py
+++ b/packages/keelgap-agent/src/keelgap_agent/events.py
@@ -12,8 +12,8 @@
     TableChanged,
     TimerFired,
 )
-from keelgap_agent.outcomes import Outcome, StoredAnswer
-from keelgap_agent.problems import Problem
+from keelgap_agent.requests.outcomes import Outcome, StoredAnswer
+from keelgap_agent.requests.problems import Problem
 
 __all__ = (
     'AgentEvent',
--- a/packages/keelgap-agent/src/keelgap_agent/flow_effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/flows/flow_effects.py
@@ -1,14 +1,10 @@
 """Effects on flows: take, pass on, refuse, announce, end."""
 
-from typing import TYPE_CHECKING
-
 from keelgap.wire.encapsulation import MessageKind
 from keelgap_agent import effects, events
-from keelgap_agent.flow_table import FlowTable, Offer
-from keelgap_agent.handshakes import make_refusal
-
-if TYPE_CHECKING:
-    from keelgap_agent.driver import AgentDriver
+from keelgap_agent.ports import Dispatcher
+from keelgap_agent.quic.flow_table import FlowTable, Offer
+from keelgap_agent.quic.handshakes import make_refusal
 
 __all__ = ('FlowEffects',)
 
@@ -16,7 +12,7 @@
 class FlowEffects:
     """Carry out what the reducer decided about flows."""
 
-    def __init__(self, driver: 'AgentDriver') -> None:
+    def __init__(self, driver: Dispatcher) -> None:
         """Act through the ports of a driver."""
         self.driver = driver
         #: The first datagram that admission looks at now.
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/quic/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' QUIC connections, and the data port they arrive at."""
--- a/packages/keelgap-agent/src/keelgap_agent/connections.py
+++ b/packages/keelgap-agent/src/keelgap_agent/quic/connections.py
@@ -14,8 +14,8 @@
 
 from keelgap.addresses import Address
 from keelgap_agent.defaults import BODY_WAIT_SECONDS
-from keelgap_agent.quic import AgentQuicConnection, send_goaway
-from keelgap_agent.streams import CallerStream, StreamPort
+from keelgap_agent.quic.protocol import AgentQuicConnection, send_goaway
+from keelgap_agent.quic.streams import CallerStream, StreamPort
 
 __all__ = ('CallerConnection', 'ConnectionHooks')
 
--- a/packages/keelgap-agent/src/keelgap_agent/flow_table.py
+++ b/packages/keelgap-agent/src/keelgap_agent/quic/flow_table.py
@@ -19,11 +19,11 @@
     WireError,
 )
 from keelgap.wire.packets import parse_header
-from keelgap_agent import handshakes
-from keelgap_agent.connections import CallerConnection, ConnectionHooks
-from keelgap_agent.quic import AgentQuicConnection, HandshakeIds
-from keelgap_agent.return_path import ReturnPath
-from keelgap_agent.sender import EnvelopeSender
+from keelgap_agent.quic import handshakes
+from keelgap_agent.quic.connections import CallerConnection, ConnectionHooks
+from keelgap_agent.quic.protocol import AgentQuicConnection, HandshakeIds
+from keelgap_agent.quic.return_path import ReturnPath
+from keelgap_agent.quic.sender import EnvelopeSender
 
 __all__ = ('FlowHooks', 'FlowTable', 'Offer')
 
--- a/packages/keelgap-agent/src/keelgap_agent/handshakes.py
+++ b/packages/keelgap-agent/src/keelgap_agent/quic/handshakes.py
@@ -29,7 +29,7 @@
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
 from keelgap.wire.exceptions import MalformedPacket
 from keelgap.wire.packets import CONNECTION_ID_LENGTH
-from keelgap_agent.quic import HandshakeIds
+from keelgap_agent.quic.protocol import HandshakeIds
 
 __all__ = (
     'AddressValidator',
--- a/packages/keelgap-agent/src/keelgap_agent/streams.py
+++ b/packages/keelgap-agent/src/keelgap_agent/quic/streams.py
@@ -8,14 +8,14 @@
 from aioquic.h3.connection import ErrorCode, H3Connection
 
 from keelgap.control.messages import HeaderPairs
-from keelgap_agent.bodies import BodyBuffer
 from keelgap_agent.defaults import PORTABLE_OCTETS
 from keelgap_agent.events import RequestHead
-from keelgap_agent.exchanges import RequestLines
-from keelgap_agent.outcomes import StoredAnswer
-from keelgap_agent.problems import Problem, encode_problem
-from keelgap_agent.quic import AgentQuicConnection
-from keelgap_agent.tickets import digest_caller
+from keelgap_agent.quic.bodies import BodyBuffer
+from keelgap_agent.quic.protocol import AgentQuicConnection
+from keelgap_agent.requests.exchanges import RequestLines
+from keelgap_agent.requests.outcomes import StoredAnswer
+from keelgap_agent.requests.problems import Problem, encode_problem
+from keelgap_agent.requests.tickets import digest_caller
 
 __all__ = ('CallerStream', 'StreamPort')
 
--- a/packages/keelgap-agent/src/keelgap_agent/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/reducer.py
@@ -9,7 +9,6 @@
 from typing import Any, Final
 
 from keelgap_agent import events
-from keelgap_agent.admission import drop_expired, start_waiting
 from keelgap_agent.drain import (
     change_instances,
     change_table,
@@ -18,15 +17,16 @@
     request_stop,
 )
 from keelgap_agent.effects import AgentEffect
-from keelgap_agent.flows import (
+from keelgap_agent.flows.choice import (
     close_flow,
     end_idle_flows,
     forget_handovers,
     offer_flow,
     open_flow,
 )
-from keelgap_agent.keyed import ask_issuers_again
-from keelgap_agent.requests import (
+from keelgap_agent.requests.admission import drop_expired, start_waiting
+from keelgap_agent.requests.keyed import ask_issuers_again
+from keelgap_agent.requests.lifecycle import (
     arrive,
     ask,
     cancel,
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request: admission, at most once, its answer."""
--- a/packages/keelgap-agent/src/keelgap_agent/exchanges.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/exchanges.py
@@ -3,10 +3,10 @@
 from typing import NamedTuple, Protocol
 
 from keelgap.control.messages import HeaderPairs
-from keelgap_agent.bodies import BodyBuffer
 from keelgap_agent.events import RequestHead
-from keelgap_agent.outcomes import StoredAnswer
-from keelgap_agent.problems import Problem
+from keelgap_agent.quic.bodies import BodyBuffer
+from keelgap_agent.requests.outcomes import StoredAnswer
+from keelgap_agent.requests.problems import Problem
 
 __all__ = ('Exchange', 'RequestLines')
 
--- a/packages/keelgap-agent/src/keelgap_agent/keyed.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/keyed.py
@@ -2,7 +2,6 @@
 
 from keelgap.addresses import Address
 from keelgap_agent import defaults
-from keelgap_agent.admission import admit
 from keelgap_agent.effects import (
     AgentEffect,
     AskPeer,
@@ -11,9 +10,10 @@
     RefuseRequest,
 )
 from keelgap_agent.events import RequestHead
-from keelgap_agent.ledger import EntryState, LedgerEntry, LedgerKey
-from keelgap_agent.peers import is_listed
-from keelgap_agent.problems import (
+from keelgap_agent.requests.admission import admit
+from keelgap_agent.requests.ledger import EntryState, LedgerEntry, LedgerKey
+from keelgap_agent.requests.peers import is_listed
+from keelgap_agent.requests.problems import (
     LEDGER_FULL,
     MALFORMED_KEY,
     OUTCOME_PENDING,
@@ -25,14 +25,14 @@
     Problem,
     ProblemType,
 )
-from keelgap_agent.settling import make_answer, refuse, settle
-from keelgap_agent.state import AgentState, Phase, Request
-from keelgap_agent.tickets import (
+from keelgap_agent.requests.settling import make_answer, refuse, settle
+from keelgap_agent.requests.tickets import (
     MalformedKey,
     Ticket,
     TicketRefused,
     split_key,
 )
+from keelgap_agent.state import AgentState, Phase, Request
 
 __all__ = ('ask_issuers_again', 'issue_ticket', 'settle_keyed')
 
--- a/packages/keelgap-agent/src/keelgap_agent/ledger.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/ledger.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from keelgap_agent.outcomes import StoredAnswer
+from keelgap_agent.requests.outcomes import StoredAnswer
 
 __all__ = ('EntryState', 'Ledger', 'LedgerEntry', 'LedgerKey')
 
--- a/packages/keelgap-agent/src/keelgap_agent/requests.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/lifecycle.py
@@ -3,12 +3,6 @@
 from typing import Final
 
 from keelgap_agent import defaults
-from keelgap_agent.admission import (
-    admit,
-    pass_to_peer,
-    release,
-    start_waiting,
-)
 from keelgap_agent.effects import AgentEffect, CancelRun, Count, Observe
 from keelgap_agent.events import (
     PeerAnswered,
@@ -18,11 +12,17 @@
     RequestFinished,
     RequestHead,
 )
-from keelgap_agent.keyed import issue_ticket, settle_keyed
-from keelgap_agent.ledger import EntryState
-from keelgap_agent.outcomes import Outcome, OutcomeKind, StoredAnswer
-from keelgap_agent.problems import NOT_RUN, UPSTREAM_FAILED, Problem
-from keelgap_agent.settling import (
+from keelgap_agent.requests.admission import (
+    admit,
+    pass_to_peer,
+    release,
+    start_waiting,
+)
+from keelgap_agent.requests.keyed import issue_ticket, settle_keyed
+from keelgap_agent.requests.ledger import EntryState
+from keelgap_agent.requests.outcomes import Outcome, OutcomeKind, StoredAnswer
+from keelgap_agent.requests.problems import NOT_RUN, UPSTREAM_FAILED, Problem
+from keelgap_agent.requests.settling import (
     answer_all,
     leave_flow,
     refuse,
--- a/packages/keelgap-agent/src/keelgap_agent/peer_requests.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/peer_requests.py
@@ -6,17 +6,17 @@
 
 from keelgap.addresses import Address
 from keelgap.control.messages import Answer, Ask, HeaderPairs
-from keelgap_agent.bodies import BodyBuffer
 from keelgap_agent.defaults import PORTABLE_OCTETS
 from keelgap_agent.events import RequestHead
-from keelgap_agent.exchanges import RequestLines
-from keelgap_agent.outcomes import StoredAnswer
-from keelgap_agent.problems import (
+from keelgap_agent.quic.bodies import BodyBuffer
+from keelgap_agent.requests.exchanges import RequestLines
+from keelgap_agent.requests.outcomes import StoredAnswer
+from keelgap_agent.requests.problems import (
     PROBLEM_TYPES,
     UPSTREAM_FAILED,
     Problem,
 )
-from keelgap_agent.upstream import AnswerKeeper
+from keelgap_agent.requests.upstream import AnswerKeeper
 
 __all__ = ('PeerRequest', 'read_answer', 'read_problem')
 
--- a/packages/keelgap-agent/src/keelgap_agent/request_effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/request_effects.py
@@ -4,18 +4,16 @@
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from keelgap.addresses import Address
 from keelgap.control.messages import Answer, Ask
 from keelgap.logs import logger
 from keelgap_agent import effects, events
-from keelgap_agent.exchanges import Exchange
-from keelgap_agent.outcomes import Outcome, OutcomeKind, StoredAnswer
-from keelgap_agent.peer_requests import PeerRequest
-
-if TYPE_CHECKING:
-    from keelgap_agent.driver import AgentDriver
+from keelgap_agent.ports import Dispatcher
+from keelgap_agent.requests.exchanges import Exchange
+from keelgap_agent.requests.outcomes import Outcome, OutcomeKind, StoredAnswer
+from keelgap_agent.requests.peer_requests import PeerRequest
 
 __all__ = ('RequestEffects',)
 
@@ -27,7 +25,7 @@
 class RequestEffects:
     """Carry out what the reducer decided about requests."""
 
-    def __init__(self, driver: 'AgentDriver') -> None:
+    def __init__(self, driver: Dispatcher) -> None:
         """Act through the ports of a driver."""
         self.driver = driver
         self.exchanges: dict[int, Exchange] = {}
--- a/packages/keelgap-agent/src/keelgap_agent/settling.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/settling.py
@@ -9,9 +9,9 @@
     Count,
     RefuseRequest,
 )
-from keelgap_agent.ledger import EntryState
-from keelgap_agent.outcomes import StoredAnswer
-from keelgap_agent.problems import ANSWER_NOT_KEPT, NOT_RUN, Problem
+from keelgap_agent.requests.ledger import EntryState
+from keelgap_agent.requests.outcomes import StoredAnswer
+from keelgap_agent.requests.problems import ANSWER_NOT_KEPT, NOT_RUN, Problem
 from keelgap_agent.state import AgentState, Request
 
 __all__ = (
--- a/packages/keelgap-agent/src/keelgap_agent/upstream.py
+++ b/packages/keelgap-agent/src/keelgap_agent/requests/upstream.py
@@ -10,10 +10,10 @@
 from multidict import CIMultiDict
 
 from keelgap.control.messages import HeaderPairs
-from keelgap_agent.bodies import BodyCancelled
 from keelgap_agent.defaults import ANSWER_KEPT_OCTETS
-from keelgap_agent.exchanges import Exchange
-from keelgap_agent.outcomes import Outcome, OutcomeKind, StoredAnswer
+from keelgap_agent.quic.bodies import BodyCancelled
+from keelgap_agent.requests.exchanges import Exchange
+from keelgap_agent.requests.outcomes import Outcome, OutcomeKind, StoredAnswer
 
 __all__ = ('DEADLINE_HEADER', 'AnswerKeeper', 'UpstreamClient', 'watch_state')
 
--- a/packages/keelgap-agent/src/keelgap_agent/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/server.py
@@ -28,20 +28,21 @@
 from keelgap.table import Table
 from keelgap.wire.packets import CONNECTION_ID_LENGTH
 from keelgap_agent.conf import AgentSettings, TlsSettings
-from keelgap_agent.driver import AgentDriver, AgentPorts
+from keelgap_agent.driver import AgentDriver
 from keelgap_agent.events import (
     InstancesChanged,
     StopRequested,
     TableChanged,
 )
-from keelgap_agent.flow_table import FlowHooks, FlowTable
-from keelgap_agent.flows import accepts_service
+from keelgap_agent.flows.choice import accepts_service
 from keelgap_agent.metrics import AgentMetrics
-from keelgap_agent.quic import CONNECTION_WINDOW, STREAM_WINDOW
-from keelgap_agent.sender import EnvelopeSender
+from keelgap_agent.ports import AgentPorts
+from keelgap_agent.quic.flow_table import FlowHooks, FlowTable
+from keelgap_agent.quic.protocol import CONNECTION_WINDOW, STREAM_WINDOW
+from keelgap_agent.quic.sender import EnvelopeSender
+from keelgap_agent.requests.tickets import TicketCodec
+from keelgap_agent.requests.upstream import UpstreamClient, watch_state
 from keelgap_agent.state import AgentIdentity, AgentState
-from keelgap_agent.tickets import TicketCodec
-from keelgap_agent.upstream import UpstreamClient, watch_state
 
 __all__ = ('AgentServer',)
 
--- a/packages/keelgap-agent/src/keelgap_agent/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/state.py
@@ -15,8 +15,8 @@
     Upstream,
 )
 from keelgap_agent import defaults
-from keelgap_agent.ledger import Ledger, LedgerKey
-from keelgap_agent.tickets import TicketCodec
+from keelgap_agent.requests.ledger import Ledger, LedgerKey
+from keelgap_agent.requests.tickets import TicketCodec
 
 __all__ = (
     'AgentIdentity',
--- a/tests/agent/machine.py
+++ b/tests/agent/machine.py
@@ -15,8 +15,8 @@
     rule,
 )
 
-from keelgap_agent.outcomes import OutcomeKind, StoredAnswer
-from keelgap_agent.problems import Problem
+from keelgap_agent.requests.outcomes import OutcomeKind, StoredAnswer
+from keelgap_agent.requests.problems import Problem
 from tests.agent.fakes import Agent, World
 
 AGENTS = 3
--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -5,7 +5,7 @@
 
 from keelgap.addresses import Address
 from keelgap_agent import events
-from keelgap_agent.outcomes import OutcomeKind
+from keelgap_agent.requests.outcomes import OutcomeKind
 from tests.agent.fakes import World, get_kind
 from tests.effects import typed
 
--- a/tests/agent/test_at_most_once.py
+++ b/tests/agent/test_at_most_once.py
@@ -4,7 +4,7 @@
 from unittest import TestCase
 
 from keelgap_agent import defaults
-from keelgap_agent.outcomes import OutcomeKind
+from keelgap_agent.requests.outcomes import OutcomeKind
 from tests.agent.fakes import Agent, World, get_kind
 
 
--- a/tests/agent/test_oracle.py
+++ b/tests/agent/test_oracle.py
@@ -6,8 +6,9 @@
 from typing import Any
 from unittest import TestCase, mock
 
-from keelgap_agent import admission, keyed, requests
-from keelgap_agent.ledger import Ledger
+from keelgap_agent.requests import admission, keyed
+from keelgap_agent.requests import lifecycle as requests
+from keelgap_agent.requests.ledger import Ledger
 from keelgap_agent.state import AgentState
 from tests.agent.machine import AgentMachine
 from tests.fuzzing import run_machine
--- a/tests/agent/test_quic.py
+++ b/tests/agent/test_quic.py
@@ -19,14 +19,14 @@
 
 from keelgap.addresses import Address
 from keelgap.routing.connection_ids import ConnectionIdCodec, FlowOwner
-from keelgap_agent.quic import (
+from keelgap_agent.quic.protocol import (
     CONNECTION_WINDOW,
     STREAM_WINDOW,
     AgentQuicConnection,
     HandshakeIds,
     send_goaway,
 )
-from keelgap_agent.streams import CallerStream, StreamPort
+from keelgap_agent.quic.streams import CallerStream, StreamPort
 from keelgap_standins.certificates import write_certificate
 
 ADDRESS = Address('127.0.0.1', 1)
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -11,7 +11,7 @@
 from keelgap.table import Table
 from keelgap.wire.encapsulation import Envelope, MessageKind
 from keelgap_agent import events
-from keelgap_agent.outcomes import OutcomeKind
+from keelgap_agent.requests.outcomes import OutcomeKind
 from keelgap_balancer.events import (
     BalancerEvent,
     CallerDatagram,
--- a/tests/keelgap/test_docs.py
+++ b/tests/keelgap/test_docs.py
@@ -13,7 +13,7 @@
 from keelgap.wire import exceptions
 from keelgap_agent import defaults as agent_defaults
 from keelgap_agent.conf import AgentSettings
-from keelgap_agent.problems import PROBLEM_TYPES
+from keelgap_agent.requests.problems import PROBLEM_TYPES
 from keelgap_balancer import defaults as balancer_defaults
 from keelgap_balancer.conf import BalancerSettings
 
--- a/tests/site/test_faults.py
+++ b/tests/site/test_faults.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from keelgap_agent.quic import CONNECTION_WINDOW, STREAM_WINDOW
+from keelgap_agent.quic.protocol import CONNECTION_WINDOW, STREAM_WINDOW
 from keelgap_standins.caller import Caller, FlowBroken, open_caller
 from tests.site.cases import SiteTestCase
 
