--- a/deploy/agent.py
+++ b/deploy/agent.py
@@ -1,7 +1,11 @@
 """Start a packet agent, with as few imports as there can be."""
 
+import signal
 import sys
 
-from keelgap_agent.packets.__main__ import main
+# A reload signal may come before the imports are done, and would end us.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-sys.exit(main())
+from keelgap_agent.packets.__main__ import main  # noqa: E402
+
+sys.exit(main(*sys.argv[1:2]))
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -124,8 +124,13 @@
     opening = Opening(key, route, datagram, now, 0)
     if owner is not None and _keeps_choice(owner, now):
         return _offer(state, owner, opening)
-    excluded = () if owner is None else (owner.host,)
-    return _place(state, opening, excluded)
+    if owner is None:
+        return _place(state, opening, ())
+    silent: tuple[str, ...] = (owner.host,)
+    if choose_taker(state, route, key, now, silent) is None:
+        # It may only be starting anew, and nobody else is there to ask.
+        silent = ()
+    return _place(state, opening, silent)
 
 
 def _keeps_choice(owner: AgentView, now: float) -> bool:
--- a/packages/keelgap/src/keelgap/packets/process.py
+++ b/packages/keelgap/src/keelgap/packets/process.py
@@ -1,6 +1,7 @@
 """What both packet programs do around their server."""
 
 import os
+import signal
 import sys
 import time
 from collections.abc import Callable
@@ -122,6 +123,7 @@
     Sockets are open before the server's code is imported: what arrives
     meanwhile waits in them, instead of for its sender to repeat it.
     """
+    ignore_hang_up()
     path = path or os.environ.get(SETTINGS_VARIABLE, '')
     try:
         settings = load_settings(path, settings_type)
@@ -147,6 +149,11 @@
     return 0
 
 
+def ignore_hang_up() -> None:
+    """Outlive a reload signal that comes before there is a handler for it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _exit_on(error: KeelgapError) -> int:
     print(f'{error.code}: {error}', file=sys.stderr)  # noqa: WPS421
     return _EXIT_BAD_SETTINGS
--- a/tests/packets/test_balancer.py
+++ b/tests/packets/test_balancer.py
@@ -122,6 +122,19 @@
         (copy,) = self.send(SYN, ack=2)
         self.assertNotEqual(copy.host, offer.host)
 
+    def test_only_agent_is_asked_again_although_it_is_silent(self) -> None:
+        """A reset would cost its caller one of few tries.
+
+        Found by the tests with processes: the agent was being restarted.
+        """
+        self.change(make_catalog(2, self.boards[:1]))
+        self.now += defaults.GONE_SECONDS + 0.1
+        self.take(TimerFired(self.now))
+        (offer,) = self.send(SYN)
+        self.now += defaults.QUIET_SECONDS + 0.1
+        (copy,) = self.send(SYN, ack=1)
+        self.assertEqual(copy, offer._replace(envelope=copy.envelope))
+
     def test_least_loaded_agent_is_chosen(self) -> None:
         """Load counts by slots and by the time that answers take."""
         self.report('10.0.0.1', busy=3)
--- /dev/null
+++ b/tests/site/test_packet_programs.py
@@ -0,0 +1,349 @@
+"""The packet programs as processes, on loopback, with a stand-in store."""
+
+import json
+import os
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import time
+from contextlib import ExitStack, suppress
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from threading import Thread
+from typing import Any
+from unittest import TestCase
+from urllib.error import HTTPError
+from urllib.request import urlopen
+
+from keelgap_standins.packet_store import PacketStore
+from tests.packets.building import (
+    ACK,
+    FORMAT,
+    RST,
+    SYN,
+    FlowName,
+    make_packet,
+)
+
+DEPLOY = Path(__file__).parents[2] / 'deploy'
+LAUNCHERS = {
+    'keelgap_balancer': DEPLOY / 'balancer.py',
+    'keelgap_agent': DEPLOY / 'agent.py',
+}
+BALANCER = '127.10.0.1'
+AGENT = '127.10.0.2'
+CALLER = '127.10.1.1'
+BALANCER_INI = """
+[instance]
+name = balancer
+address = {balancer}
+availability_zone = a
+[listen]
+callers = {balancer}:{port}
+peer_port = {peer}
+ready = {balancer}:{ready}
+control = {balancer}:{control}
+metrics_port = {metrics}
+[store]
+address = {store}
+"""
+AGENT_INI = """
+[instance]
+name = agent
+address = {agent}
+availability_zone = a
+[listen]
+upstream = {agent}:{outbound}
+peer_port = {peer}
+callers = {agent}:{port}
+ready = {agent}:{ready}
+[upstream]
+service = board
+address = {agent}:{app}
+"""
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that are free on loopback now."""
+    with ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            probe = stack.enter_context(socket.socket())
+            probe.bind(('127.0.0.1', 0))
+            ports.append(probe.getsockname()[1])
+        return ports
+
+
+class EchoUpstream:
+    """Accepts every flow and answers every request; refuses the unknown."""
+
+    def __init__(self, host: str, port: int, outbound: int) -> None:
+        """Serve on a thread."""
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind((host, port))
+        self.outbound = (host, outbound)
+        self.flows: set[bytes] = set()
+        Thread(target=self.serve, daemon=True).start()
+
+    def serve(self) -> None:
+        """Answer until the socket is closed."""
+        while True:
+            try:
+                datagram = self.sock.recv(2048)
+            except OSError:
+                return
+            self.sock.sendto(self.answer(datagram), self.outbound)
+
+    def answer(self, datagram: bytes) -> bytes:
+        """Return the packet for a packet."""
+        key = FORMAT.caller_key(datagram)
+        head = bytearray(make_packet(self.name_flow(key), ACK, back=True))
+        if datagram[26] & SYN:
+            self.flows.add(key)
+            head[26] = SYN | ACK
+            return bytes(head)
+        if key in self.flows:
+            data = b'HTTP/1.1 200 OK\r\n\r\n'
+            head[:2] = len(data).to_bytes(2, 'little')
+            return bytes(head) + data
+        bounced = bytearray(datagram)
+        bounced[26] |= 1
+        return bytes(bounced)
+
+    def name_flow(self, key: bytes) -> FlowName:
+        """Return the flow that a key stands for."""
+        return FlowName(CALLER, int.from_bytes(key[4:6], 'little'))
+
+
+class ProgramTests(TestCase):
+    """Start, serve, stop, reload; a stuck log; bad settings."""
+
+    def setUp(self) -> None:
+        """Start a store, an upstream, an agent and a balancer."""
+        self.stack = ExitStack()
+        self.addCleanup(self.stack.close)
+        self.folder = self.stack.enter_context(TemporaryDirectory())
+        names = ('port', 'peer', 'ready', 'control', 'metrics')
+        self.values: dict[str, Any] = dict(
+            zip((*names, 'outbound', 'app'), find_ports(7), strict=True),
+        )
+        self.store = PacketStore('127.0.0.1')
+        self.stack.callback(self.store.close)
+        self.values.update(
+            balancer=BALANCER,
+            agent=AGENT,
+            store=self.store.address,
+        )
+        app = self.values['app']
+        self.upstream = EchoUpstream(AGENT, app, self.values['outbound'])
+        self.stack.callback(self.upstream.sock.close)
+        self.publish()
+        self.caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.stack.callback(self.caller.close)
+        self.caller.bind((CALLER, self.values['port']))
+        self.caller.settimeout(0.5)
+        self.agent = self.start('keelgap_agent', AGENT_INI)
+        self.balancer = self.start('keelgap_balancer', BALANCER_INI)
+        self.wait_until_ready()
+
+    def publish(self) -> None:
+        """Write the routes and the upstream into the store."""
+        route = {
+            'Name': 'r',
+            'Host': '198.18.0.1',
+            'Prefix': '/443/',
+            'SloMs': 200,
+            'Priority': 1,
+            'Service': 'board',
+        }
+        limits = {'IdleTimeoutMs': 15000}
+        self.store.put(
+            'op/config',
+            {'Version': 1, 'Routes': [route], 'Limits': limits},
+        )
+        row = {
+            'Service': 'board',
+            'Address': f'{AGENT}:{self.values["app"]}',
+            'Zone': 'a',
+            'Concurrency': 3,
+            'State': 'ready',
+        }
+        self.store.put('servers/i-1', row)
+
+    def start(self, package: str, ini: str) -> subprocess.Popen[bytes]:
+        """Start one program; it is ended with the test."""
+        path = Path(self.folder, f'{package}.ini')
+        path.write_text(ini.format(**self.values))
+        log = self.stack.enter_context(Path(self.folder, package).open('ab'))
+        process = subprocess.Popen(  # noqa: S603
+            [sys.executable, str(LAUNCHERS[package]), str(path)],
+            stdout=log,
+        )
+        self.stack.callback(process.wait)
+        self.stack.callback(process.kill)
+        return process
+
+    def read_log(self, package: str) -> list[dict[str, Any]]:
+        """Return the lines that a program wrote."""
+        text = Path(self.folder, package).read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def get(self, port: str, path: str) -> tuple[int, bytes]:
+        """Read a page of the balancer."""
+        url = f'http://{BALANCER}:{self.values[port]}{path}'
+        try:
+            with urlopen(url, timeout=2) as page:  # noqa: S310
+                return page.status, page.read()
+        except HTTPError as error:
+            return error.code, b''
+        except OSError:
+            return 0, b''
+
+    def wait_for(self, holds: Any, seconds: float = 10) -> None:
+        """Wait until something holds."""
+        end = time.monotonic() + seconds
+        while not holds():
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.02)
+
+    def wait_until_ready(self) -> None:
+        """Wait until the routers would send callers here."""
+        self.wait_for(lambda: self.get('ready', '/-/ready')[0] == 200)
+
+    def send(self, port: int, flags: int, data: bytes = b'') -> bytes:
+        """Send a packet and return the answer, after copies if need be."""
+        packet = make_packet(FlowName(CALLER, port), flags, data=data)
+        for _ in range(20):
+            self.caller.sendto(packet, (BALANCER, self.values['port']))
+            with suppress(TimeoutError):
+                return self.caller.recv(2048)
+        raise AssertionError('no answer')
+
+    def open(self, port: int) -> None:
+        """Open a flow and have one request answered."""
+        self.assertEqual(self.send(port, SYN)[26], SYN | ACK)
+        data = b'GET / HTTP/1.1\r\nX-Keelgap-Request-Id: r%d\r\n\r\n' % port
+        self.assertIn(b'200', self.send(port, ACK, data))
+
+    def test_flow_is_served_and_survives_restarts(self) -> None:
+        """Of the balancer, then of the agent; its upstream lives on."""
+        self.open(1)
+        self.balancer.kill()
+        self.balancer.wait()
+        self.balancer = self.start('keelgap_balancer', BALANCER_INI)
+        self.wait_until_ready()
+        self.assertIn(b'200', self.send(1, ACK, b'more'))
+        self.agent.kill()
+        self.agent.wait()
+        self.agent = self.start('keelgap_agent', AGENT_INI)
+        self.assertIn(b'200', self.send(1, ACK, b'more'))
+        self.upstream.flows.clear()
+        self.assertEqual(self.send(1, ACK, b'more')[26], RST)
+
+    def test_planned_stop_tells_the_routers_first(self) -> None:
+        """It goes on forwarding, and then ends by itself with status 0."""
+        self.open(1)
+        self.balancer.send_signal(signal.SIGTERM)
+        self.wait_for(lambda: self.get('ready', '/-/ready')[0] == 503)
+        self.assertIn(b'200', self.send(1, ACK, b'more'))
+        self.assertEqual(self.balancer.wait(10), 0)
+        self.agent.send_signal(signal.SIGTERM)
+        self.assertEqual(self.agent.wait(10), 0)
+        events = [line['event'] for line in self.read_log('keelgap_agent')]
+        self.assertEqual(events[0], 'started')
+        self.assertEqual(events[-1], 'stopped')
+        answered = [
+            line
+            for line in self.read_log('keelgap_agent')
+            if line['event'] == 'request_answered'
+        ]
+        self.assertEqual(answered[0]['request'], 'r1')
+
+    def test_reload_signal_ends_nothing(self) -> None:
+        """Also one that comes while the programs still start.
+
+        Found by this test: SIGHUP ended an agent during its imports.
+        """
+        self.agent.kill()
+        self.agent.wait()
+        self.agent = self.start('keelgap_agent', AGENT_INI)
+        time.sleep(0.08)
+        for process in (self.balancer, self.agent):
+            process.send_signal(signal.SIGHUP)
+        self.open(1)
+        self.wait_for(
+            lambda: any(
+                line['event'] == 'reload_asked'
+                for line in self.read_log('keelgap_balancer')
+            ),
+        )
+        self.assertIsNone(self.balancer.poll())
+        self.assertIsNone(self.agent.poll())
+
+    def test_store_may_go_and_forget(self) -> None:
+        """What was in force stays, and what changed is read again."""
+        self.store.refuses = True
+        self.store.put('op/config', {'Version': 2, 'Routes': [], 'Limits': {}})
+        self.open(1)
+        self.store.refuses = False
+        self.store.forgets = True
+        self.store.remove('servers/i-1')
+        self.wait_for(
+            lambda: self.send(9, SYN)[26] == RST,
+        )
+
+    def test_metrics_page_comes_after_its_library(self) -> None:
+        """The first call is answered at once, with a later time."""
+        self.open(1)
+        self.assertEqual(self.get('metrics', '/metrics')[0], 503)
+        self.wait_for(lambda: self.get('metrics', '/metrics')[0] == 200)
+        body = self.get('metrics', '/metrics')[1].decode()
+        self.assertIn('keelgap_catalog_revision', body)
+        self.assertIn('keelgap_events_total', body)
+
+    def test_stuck_log_delays_no_packet(self) -> None:
+        """Nobody reads the pipe behind the balancer's standard output."""
+        self.balancer.kill()
+        self.balancer.wait()
+        reader, writer = os.pipe()
+        self.stack.callback(os.close, reader)
+        path = Path(self.folder, 'keelgap_balancer.ini')
+        process = subprocess.Popen(  # noqa: S603
+            [sys.executable, '-m', 'keelgap_balancer.packets', str(path)],
+            stdout=writer,
+        )
+        os.close(writer)
+        self.stack.callback(process.wait)
+        self.stack.callback(process.kill)
+        self.wait_until_ready()
+        stray = make_packet(
+            FlowName(CALLER, 7)._replace(
+                route=FlowName(CALLER, 7).route._replace(port=9),
+            ),
+            SYN,
+        )
+        for number in range(900):
+            self.caller.sendto(stray, (BALANCER, self.values['port']))
+            if number % 30 == 0:
+                time.sleep(0.2)
+            self.caller.recv(2048)
+        started = time.monotonic()
+        self.open(1)
+        self.assertLess(time.monotonic() - started, 1)
+
+    def test_bad_settings_are_all_named(self) -> None:
+        """And nothing is bound."""
+        path = Path(self.folder, 'bad.ini')
+        text = BALANCER_INI.format(**self.values)
+        path.write_text(text.replace('peer_port', 'pear_port'))
+        done = subprocess.run(  # noqa: S603
+            [sys.executable, '-m', 'keelgap_balancer.packets', str(path)],
+            capture_output=True,
+            text=True,
+            timeout=10,
+            check=False,
+        )
+        self.assertEqual(done.returncode, 2)
+        self.assertIn('pear_port', done.stderr)
+        self.assertIn('peer_port', done.stderr)
