--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -1,6 +1,5 @@
 """A packet agent: sockets in, events through the reducer, sockets."""
 
-import signal
 from collections.abc import Callable
 from contextlib import ExitStack
 from importlib import import_module
@@ -113,13 +112,12 @@
             self.process.lines.tell('stopping', busy=self.state.busy)
             self._dispatch(StopRequested(self.loop.clock()))
 
-    def list_signals(self) -> dict[int, Callable[[], None]]:
-        """Return what to do at each signal."""
-        return {
-            signal.SIGTERM: self.stop,
-            signal.SIGINT: self.stop,
-            signal.SIGHUP: self.process.note_reload,
-        }
+    def reload(self, settings: AgentPacketSettings) -> tuple[str, ...]:
+        """Serve another service or upstream from now on."""
+        self.settings = settings
+        self.upstream = parse_address(settings.upstream.address)
+        self.state.change_service(settings.upstream.service)
+        return ('upstream.service', 'upstream.address')
 
     def _read_upstream(self, datagram: bytes, sender: tuple[str, int]) -> None:
         if not self.format.is_whole(datagram):
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -155,6 +155,10 @@
         self.reported_at = now
         self.last_packet = now
 
+    def change_service(self, service: str) -> None:
+        """Take no packets of another service any more."""
+        self.service_tag = compute_service_tag(service)
+
     def make_report(self) -> LoadReport:
         """Return what balancers should know now."""
         return LoadReport(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -8,6 +8,7 @@
     'FLOW_GENERATION_SECONDS',
     'GIVE_UP_SECONDS',
     'GONE_SECONDS',
+    'GOSSIP_AT_ONCE',
     'GOSSIP_SECONDS',
     'GREETINGS_AT_ONCE',
     'HELLO_SECONDS',
@@ -111,9 +112,12 @@
 #: Pause between messages to other balancers.
 GOSSIP_SECONDS: Final = 0.5
 
-#: Other balancers told at once, and named in a message.
+#: Other balancers named in a message; as many are all told each time.
 MAX_GOSSIP_PEERS: Final = 8
 
+#: With more others, so many are told each time, by turns: 0.8 KB/s.
+GOSSIP_AT_ONCE: Final = 2
+
 #: Another balancer that was silent for so long is forgotten.
 PEER_SECONDS: Final = 10.0
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip.py
@@ -40,11 +40,18 @@
     def __init__(self, own: str, seeds: Iterable[str]) -> None:
         """Know the seeds, which may be stale."""
         self.own = own
-        self.seeds = tuple(host for host in seeds if host != own)
+        self.seeds: tuple[str, ...] = ()
+        self.change_seeds(seeds)
         #: When each host was last heard.
         self.heard: dict[str, float] = {}
         #: Hosts that others named and that were not heard yet.
         self.named: set[str] = set()
+        #: Place of the first receiver of the last round.
+        self.turn = 0
+
+    def change_seeds(self, seeds: Iterable[str]) -> None:
+        """Know other seeds."""
+        self.seeds = tuple(host for host in seeds if host != self.own)
 
     def note(self, host: str, gossip: Gossip, now: float) -> bool:
         """Record a message; return whether its sender is new or back."""
@@ -67,11 +74,14 @@
         return silent
 
     def list_receivers(self) -> list[str]:
-        """Return whom to tell now: a bounded number, the latest first."""
-        latest = sorted(self.heard, key=self.heard.__getitem__, reverse=True)
-        hosts = [*latest, *self.named, *self.seeds]
+        """Return whom to tell now: all, or by turns if there are many."""
+        hosts = list(dict.fromkeys((*self.heard, *self.named, *self.seeds)))
         self.named = set()
-        return list(dict.fromkeys(hosts))[: defaults.MAX_GOSSIP_PEERS]
+        if len(hosts) <= defaults.MAX_GOSSIP_PEERS:
+            return hosts
+        # Others hear of us in the next rounds.
+        self.turn = (self.turn + defaults.GOSSIP_AT_ONCE) % len(hosts)
+        return (hosts * 2)[self.turn : self.turn + defaults.GOSSIP_AT_ONCE]
 
     def make_gossip(self, revision: int) -> bytes:
         """Return the message to send."""
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -1,6 +1,5 @@
 """A packet balancer: sockets in, events through the reducer, sockets."""
 
-import signal
 from collections.abc import Callable
 from contextlib import ExitStack
 from importlib import import_module
@@ -87,11 +86,7 @@
         #: What the routers were told last.
         self.was_ready = False
         self.served_first = False
-        seeds = [seed for seed in listen.seeds.split(',') if seed]
-        self.peers = Peers(
-            settings.instance.address,
-            [parse_address(seed).host for seed in seeds],
-        )
+        self.peers = Peers(settings.instance.address, _parse_seeds(settings))
         self.caller_socket = sockets.callers
         self.peer_socket = sockets.peers
         self.reads_callers = False
@@ -150,13 +145,11 @@
             self.stopping_since = self.loop.clock()
             self.process.lines.tell('stopping')
 
-    def list_signals(self) -> dict[int, Callable[[], None]]:
-        """Return what to do at each signal."""
-        return {
-            signal.SIGTERM: self.stop,
-            signal.SIGINT: self.stop,
-            signal.SIGHUP: self.process.note_reload,
-        }
+    def reload(self, settings: BalancerPacketSettings) -> tuple[str, ...]:
+        """Ask other seeds from now on."""
+        self.settings = settings
+        self.peers.change_seeds(_parse_seeds(settings))
+        return ('listen.seeds',)
 
     def _read_callers(self) -> None:
         if self.reads_callers:
@@ -309,3 +302,9 @@
             self._tell_peer(host)
         peer = Address(host, self.control.port)
         self.catalog.note_peer(peer, gossip.revision)
+
+
+def _parse_seeds(settings: BalancerPacketSettings) -> list[str]:
+    """Return the hosts of the balancers to ask first."""
+    seeds = settings.listen.seeds.split(',')
+    return [parse_address(seed).host for seed in seeds if seed]
--- a/packages/keelgap/src/keelgap/catalog/defaults.py
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -5,7 +5,6 @@
 __all__ = (
     'BEHIND_SECONDS',
     'GATHER_SECONDS',
-    'LAPSE_SECONDS',
     'PEER_FETCH_SECONDS',
     'RETRY_FIRST_SECONDS',
     'RETRY_MAX_SECONDS',
@@ -31,9 +30,5 @@
 #: within a second, as entries that lapsed are back within two.
 RETRY_MAX_SECONDS: Final = 0.8
 
-#: An entry that is missing for so long after the store was reached again is
-#: gone; the platform promises living ones back within about 2 s.
-LAPSE_SECONDS: Final = 2.5
-
 #: Pause between fetches of a later catalog from peers.
 PEER_FETCH_SECONDS: Final = 0.2
--- a/packages/keelgap/src/keelgap/packets/process.py
+++ b/packages/keelgap/src/keelgap/packets/process.py
@@ -17,6 +17,7 @@
     Gauges,
     make_metrics_page,
 )
+from keelgap.packets.reload import SettingsWatch
 from keelgap.runtime.lines import LogLines
 from keelgap.runtime.loop import EventLoop
 from keelgap.runtime.pages import serve_pages
@@ -63,21 +64,15 @@
         self,
         program: str,
         instance: str,
-        settings_path: str,
         stack: ExitStack,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Open the loop; the stack closes it."""
-        self.settings_path = settings_path
         self.loop = EventLoop(stack, clock)
         self.lines = LogLines(program, instance, self.loop.clock)
         self.counters = Counters()
         self.loop.call_every(_FLUSH_SECONDS, self.lines.flush)
 
-    def note_reload(self) -> None:
-        """Log that the settings file may have changed."""
-        self.lines.tell('reload_asked', path=self.settings_path)
-
 
 def serve_metrics(
     process: PacketProcess,
@@ -97,8 +92,11 @@
     def start(self) -> None:
         """Begin to serve."""
 
-    def list_signals(self) -> dict[int, Callable[[], None]]:
-        """Return what to do at each signal."""
+    def stop(self) -> None:
+        """Leave in a planned way."""
+
+    def reload(self, settings: Any) -> tuple[str, ...]:
+        """Take later settings; return the names that are in force now."""
 
 
 _SettingsT = TypeVar('_SettingsT', bound=tuple[Any, ...])
@@ -135,10 +133,17 @@
             sockets = open_sockets(settings, stack)
         except KeelgapError as error:
             return _exit_on(error)
-        process = PacketProcess(program, settings[0].name, path, stack)
+        process = PacketProcess(program, settings[0].name, stack)
         server = load_server()(settings, sockets, process, stack)
-        process.loop.handle_signals(server.list_signals(), stack)
+        watch = SettingsWatch(path, settings, process.lines, server.reload)
+        handlers = {
+            int(signal.SIGTERM): server.stop,
+            int(signal.SIGINT): server.stop,
+            int(signal.SIGHUP): watch.reload,
+        }
+        process.loop.handle_signals(handlers, stack)
         server.start()
+        watch.start(process.loop)
         process.lines.tell(
             'started',
             process_seconds=round(time.process_time(), 3),
--- a/tests/keelgap/test_docs.py
+++ b/tests/keelgap/test_docs.py
@@ -8,14 +8,19 @@
 from typing import get_type_hints
 from unittest import TestCase
 
+from keelgap.catalog import defaults as catalog_defaults
 from keelgap.dissemination import defaults as dissemination_defaults
 from keelgap.table.models import ClassRow, ServiceRow, UpstreamRow
 from keelgap.wire import exceptions
 from keelgap_agent import defaults as agent_defaults
 from keelgap_agent.conf import AgentSettings
+from keelgap_agent.packets import defaults as agent_packet_defaults
+from keelgap_agent.packets.conf import AgentPacketSettings
 from keelgap_agent.requests.problems import PROBLEM_TYPES
 from keelgap_balancer import defaults as balancer_defaults
 from keelgap_balancer.conf import BalancerSettings
+from keelgap_balancer.packets import defaults as balancer_packet_defaults
+from keelgap_balancer.packets.conf import BalancerPacketSettings
 
 ROOT = Path(__file__).parents[2]
 DOCS = ROOT / 'docs'
@@ -77,3 +82,58 @@
         self.assertEqual(done.returncode, 0, done.stderr)
         self.assertIn('no faults; revision 1', done.stdout)
         self.assertIn("did you mean 'weight'?", done.stderr)
+
+
+class PacketReferenceTests(TestCase):
+    """What the packet programs know stands in docs/ref, too."""
+
+    def test_every_setting_is_documented(self) -> None:
+        """Each name of each section."""
+        page = (DOCS / 'ref' / 'settings.md').read_text('utf-8')
+        for settings_type in (BalancerPacketSettings, AgentPacketSettings):
+            for section, section_type in get_type_hints(settings_type).items():
+                self.assertIn(f'## [{section}]', page)
+                for name in section_type._fields:
+                    self.assertIn(f'| `{name}` |', page)
+
+    def test_every_event_is_documented(self) -> None:
+        """Those that are logged, and those that are only counted."""
+        pages = ''.join(
+            (DOCS / 'ref' / name).read_text('utf-8')
+            for name in ('logs.md', 'metrics.md')
+        )
+        sources = [
+            *ROOT.glob('packages/*/src/*/packets/*.py'),
+            *ROOT.glob('packages/keelgap/src/keelgap/catalog/*.py'),
+        ]
+        self.assertGreater(len(sources), 20)
+        found = set()
+        for source in sources:
+            text = source.read_text('utf-8')
+            calls = r"(?:Decided|tell|decide|count|_tell)\(\s*'([a-z_]+)'"
+            found.update(re.findall(calls, text))
+            found.update(re.findall(r"held,\s*'(miss_[a-z_]+)'", text))
+        self.assertGreater(len(found), 25)
+        for name in found:
+            with self.subTest(name):
+                self.assertIn(f'`{name}`', pages)
+
+    def test_every_gauge_is_documented(self) -> None:
+        """Of both programs."""
+        page = (DOCS / 'ref' / 'metrics.md').read_text('utf-8')
+        for source in ROOT.glob('packages/*/src/*/packets/server.py'):
+            text = source.read_text('utf-8')
+            block = text.partition('def _list_gauges')[2].partition('    def ')
+            for name in re.findall("'([a-z_]+)':", block[0]):
+                self.assertIn(f'`keelgap_{name}`', page)
+
+    def test_every_default_is_exported(self) -> None:
+        """The documented modules hold no hidden constant."""
+        modules = (
+            agent_packet_defaults,
+            balancer_packet_defaults,
+            catalog_defaults,
+        )
+        for module in modules:
+            names = {name for name in module.__dict__ if name.isupper()}
+            self.assertEqual(names, set(module.__all__))
--- a/tests/site/test_packet_programs.py
+++ b/tests/site/test_packet_programs.py
@@ -75,6 +75,14 @@
         return ports
 
 
+def outlives_hang_up(pid: int) -> bool:
+    """Return whether a process ignores or handles SIGHUP by now."""
+    text = Path(f'/proc/{pid}/status').read_text('utf-8')
+    masks = dict(line.split(':\t', 1) for line in text.splitlines())
+    taken = int(masks['SigIgn'], 16) | int(masks['SigCgt'], 16)
+    return bool(taken >> (signal.SIGHUP - 1) & 1)
+
+
 class EchoUpstream:
     """Accepts every flow and answers every request; refuses the unknown."""
 
@@ -268,19 +276,42 @@
         self.agent.kill()
         self.agent.wait()
         self.agent = self.start('keelgap_agent', AGENT_INI)
-        time.sleep(0.08)
+        # Before its first lines the interpreter itself takes no signal.
+        self.wait_for(lambda: outlives_hang_up(self.agent.pid))
         for process in (self.balancer, self.agent):
             process.send_signal(signal.SIGHUP)
         self.open(1)
         self.wait_for(
             lambda: any(
-                line['event'] == 'reload_asked'
+                line['event'] == 'reloaded'
                 for line in self.read_log('keelgap_balancer')
             ),
         )
         self.assertIsNone(self.balancer.poll())
         self.assertIsNone(self.agent.poll())
 
+    def read_events(self, package: str, event: str) -> list[dict[str, Any]]:
+        """Return the lines of one event."""
+        lines = self.read_log(package)
+        return [line for line in lines if line['event'] == event]
+
+    def test_changed_file_is_taken_and_a_bad_one_is_not(self) -> None:
+        """Without a signal; the service is checked with each packet."""
+        self.wait_for(lambda: self.read_events('keelgap_agent', 'started'))
+        path = Path(self.folder, 'keelgap_agent.ini')
+        text = path.read_text()
+        path.write_text(text.replace('service = ', 'servant = '))
+        self.wait_for(
+            lambda: self.read_events('keelgap_agent', 'reload_refused'),
+        )
+        self.open(1)
+        path.write_text(text.replace('service = board', 'service = proof'))
+        self.wait_for(lambda: self.read_events('keelgap_agent', 'reloaded'))
+        (line,) = self.read_events('keelgap_agent', 'reloaded')
+        self.assertEqual(line['changed'], ['upstream.service'])
+        self.assertEqual(line['needs_restart'], [])
+        self.assertEqual(self.send(2, SYN)[26], RST)
+
     def test_store_may_go_and_forget(self) -> None:
         """What was in force stays, and what changed is read again."""
         self.store.refuses = True
