--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -20,7 +20,6 @@
 from keelgap_agent.packets.effects import (
     AgentEffect,
     Decided,
-    Observed,
     SendToBalancer,
     SendToCaller,
     SendToUpstream,
@@ -32,7 +31,12 @@
     TimerFired,
     UpstreamPacket,
 )
-from keelgap_agent.packets.state import AgentState, Flow, SeenRequest
+from keelgap_agent.packets.request_log import (
+    note_request,
+    tell_answer,
+    tell_unanswered,
+)
+from keelgap_agent.packets.state import AgentState, Flow
 
 __all__ = ('reduce',)
 
@@ -83,12 +87,12 @@
             return take_opening(state, key, event)
         # The upstream knows best whether it holds a flow that is open.
         flow = Flow(event.now)
+        if len(state.flows) >= defaults.MAX_FLOWS:
+            return (_pass(state, event), Decided('flow_table_full'))
         state.flows[key] = flow
     flow.seen = event.now
-    state.last_packet = event.now
     began = _note_caller_packet(state, key, flow, datagram, event.now)
-    mark = state.balancers.make_mark(event.sender, envelope.hop, envelope.kind)
-    passed = SendToUpstream(state.format.with_mark(datagram, mark))
+    passed = _pass(state, event)
     if envelope.kind != EnvelopeKind.SEARCH:
         return (passed, *began)
     if flow.confirmed:
@@ -98,6 +102,13 @@
     return (passed, *began)
 
 
+def _pass(state: AgentState, event: EnvelopeArrived) -> SendToUpstream:
+    """Return a packet with the mark that leads its bounce back."""
+    envelope = event.envelope
+    mark = state.balancers.make_mark(event.sender, envelope.hop, envelope.kind)
+    return SendToUpstream(state.format.with_mark(envelope.content, mark))
+
+
 def _miss(state: AgentState, event: EnvelopeArrived) -> SendToBalancer:
     envelope = event.envelope
     return state.send(
@@ -121,7 +132,7 @@
         state.openings.pop(key, None)
         sequence = state.format.sequence(datagram)
         if state.note_data(flow, sequence, now):
-            return _note_request(state, key, flow, datagram, now)
+            return note_request(state, key, flow, datagram, now)
     return ()
 
 
@@ -139,19 +150,19 @@
     if flow is None:
         # This process is younger than the flow.
         flow = Flow(now)
-        state.flows[key] = flow
+        if len(state.flows) < defaults.MAX_FLOWS:
+            state.flows[key] = flow
     flow.seen = now
     flow.confirmed = True
-    state.last_packet = now
     answered: Effects = ()
     if state.format.data_length(datagram):
         state.end_request(flow, now)
-        answered = _tell_answer(state, key, flow, datagram, now)
+        answered = tell_answer(state, key, flow, datagram, now)
     if flags & ENDS_FLOW:
         flow.ended = True
         state.end_request(flow, now)
         if flags & _RST:
-            answered = (*answered, *_tell_unanswered(state, key, flow, 'reset'))
+            answered = (*answered, *tell_unanswered(state, key, flow, 'reset'))
     passed = SendToCaller(datagram)
     released = release_held(state, now) if state.held else ()
     asked_by = flow.asked_by
@@ -162,88 +173,14 @@
     return (passed, owned, *answered, *released)
 
 
-def _tell_answer(
-    state: AgentState,
-    key: bytes,
-    flow: Flow,
-    datagram: bytes,
-    now: float,
-) -> Effects:
-    """Log a request with the status that its answer begins with."""
-    status = state.read_status(datagram)
-    if not status or not flow.requests:
-        return ()
-    request = flow.requests.pop(0)
-    taken = now - request.began
-    fields = {
-        'request': request.request_id,
-        'flow': state.format.describe_key(key),
-        'status': status,
-        'milliseconds': round(taken * 1000, 1),
-        'busy': state.busy,
-        'waiting': len(state.held),
-    }
-    return (
-        Decided('request_answered', fields),
-        Observed('answer_seconds', taken),
-    )
-
-
-def _tell_unanswered(
-    state: AgentState,
-    key: bytes,
-    flow: Flow,
-    reason: str,
-) -> Effects:
-    """Log the requests that the upstream will not answer."""
-    requests = flow.requests
-    flow.requests = []
-    return tuple(
-        Decided(
-            'request_unanswered',
-            {
-                'request': request.request_id,
-                'flow': state.format.describe_key(key),
-                'reason': reason,
-            },
-        )
-        for request in requests
-    )
-
-
-def _note_request(
-    state: AgentState,
-    key: bytes,
-    flow: Flow,
-    datagram: bytes,
-    now: float,
-) -> Effects:
-    """Remember and log the id of a request that begins in a packet."""
-    if len(flow.requests) >= defaults.MAX_SEEN_REQUESTS:
-        return ()
-    request_id = state.find_request_id(datagram)
-    if request_id is None:
-        return ()
-    flow.requests.append(SeenRequest(request_id, now))
-    fields = {
-        'request': request_id,
-        'flow': state.format.describe_key(key),
-        'busy': state.busy,
-        'waiting': len(state.held),
-    }
-    return (Decided('request_began', fields),)
-
-
 def _take_bounce(state: AgentState, datagram: bytes) -> Effects:
     """Give a packet that the upstream did not take back to its balancer."""
     host, hop, kind = state.balancers.read_mark(state.format.mark(datagram))
     packet = state.format.without_bounce(datagram)
     key = state.format.caller_key(packet)
     flow = state.flows.get(key)
-    lost = () if flow is None else _tell_unanswered(state, key, flow, 'bounced')
+    lost = () if flow is None else tell_unanswered(state, key, flow, 'bounced')
     state.forget(key)
-    if kind == EnvelopeKind.OPEN:
-        state.refused += 1
     if host is None:
         return (Decided('drop_bounce_unknown_mark'),)
     bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
@@ -315,7 +252,7 @@
     effects: list[AgentEffect] = []
     for key in over:
         effects.extend(
-            _tell_unanswered(state, key, state.flows[key], 'silent'),
+            tell_unanswered(state, key, state.flows[key], 'silent'),
         )
         state.forget(key)
     return tuple(effects)
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
@@ -0,0 +1,85 @@
+"""What is logged of a request: that it began, and how it ended.
+
+Ids and statuses are read from the packets for the log only; no decision
+depends on them.
+"""
+
+from keelgap_agent.packets import defaults
+from keelgap_agent.packets.effects import AgentEffect, Decided, Observed
+from keelgap_agent.packets.state import AgentState, Flow, SeenRequest
+
+__all__ = ('note_request', 'tell_answer', 'tell_unanswered')
+
+Effects = tuple[AgentEffect, ...]
+
+
+def note_request(
+    state: AgentState,
+    key: bytes,
+    flow: Flow,
+    datagram: bytes,
+    now: float,
+) -> Effects:
+    """Remember and log the id of a request that begins in a packet."""
+    if len(flow.requests) >= defaults.MAX_SEEN_REQUESTS:
+        return ()
+    request_id = state.find_request_id(datagram)
+    if request_id is None:
+        return ()
+    flow.requests.append(SeenRequest(request_id, now))
+    fields = {
+        'request': request_id,
+        'flow': state.format.describe_key(key),
+        'busy': state.busy,
+        'waiting': len(state.held),
+    }
+    return (Decided('request_began', fields),)
+
+
+def tell_answer(
+    state: AgentState,
+    key: bytes,
+    flow: Flow,
+    datagram: bytes,
+    now: float,
+) -> Effects:
+    """Log a request with the status that its answer begins with."""
+    status = state.read_status(datagram)
+    if not status or not flow.requests:
+        return ()
+    request = flow.requests.pop(0)
+    taken = now - request.began
+    fields = {
+        'request': request.request_id,
+        'flow': state.format.describe_key(key),
+        'status': status,
+        'milliseconds': round(taken * 1000, 1),
+        'busy': state.busy,
+        'waiting': len(state.held),
+    }
+    return (
+        Decided('request_answered', fields),
+        Observed('answer_seconds', taken),
+    )
+
+
+def tell_unanswered(
+    state: AgentState,
+    key: bytes,
+    flow: Flow,
+    reason: str,
+) -> Effects:
+    """Log the requests that the upstream will not answer."""
+    requests = flow.requests
+    flow.requests = []
+    return tuple(
+        Decided(
+            'request_unanswered',
+            {
+                'request': request.request_id,
+                'flow': state.format.describe_key(key),
+                'reason': reason,
+            },
+        )
+        for request in requests
+    )
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -148,12 +148,10 @@
         self.openings: dict[bytes, Flow] = {}
         self.slots = defaults.FIRST_SLOTS
         self.answer_seconds: float = 0
-        self.refused = 0
         self.stopping_since: float | None = None
         self.swept_at = now
         self.reported: LoadReport | None = None
         self.reported_at = now
-        self.last_packet = now
 
     def change_service(self, service: str) -> None:
         """Take no packets of another service any more."""
@@ -165,7 +163,6 @@
             busy=self.busy + len(self.held),
             flows=len(self.flows),
             answer_ms=int(self.answer_seconds * 1000),
-            refused=self.refused,
             closed=self.stopping_since is not None,
         )
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -6,6 +6,7 @@
     'DRAINED_SECONDS',
     'FIRST_CATALOG_SECONDS',
     'FLOW_GENERATION_SECONDS',
+    'FORMER_ROUTE_SECONDS',
     'GIVE_UP_SECONDS',
     'GONE_SECONDS',
     'GOSSIP_AT_ONCE',
@@ -38,6 +39,10 @@
 #: Owners not used for one to two of these are forgotten and searched again.
 FLOW_GENERATION_SECONDS: Final = 30.0
 
+#: How long open flows of a dropped route are still found; the platform lets
+#: flows older than 60 s be discarded.
+FORMER_ROUTE_SECONDS: Final = 90.0
+
 #: Owners kept; at 200 octets each this is 20 MB of the 64 MB a node may take.
 MAX_FLOWS: Final = 100000
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -3,9 +3,9 @@
 from keelgap.catalog.models import Catalog
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import Decided, PacketEffect
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import AgentView, FormerRoute, PacketState
 
-__all__ = ('change_catalog', 'forget_gone')
+__all__ = ('change_catalog', 'forget_former_routes', 'forget_gone')
 
 Effects = tuple[PacketEffect, ...]
 
@@ -17,14 +17,18 @@
 ) -> Effects:
     """Put a catalog in force; what went stays findable for a while."""
     if catalog.routes.version != state.catalog.routes.version:
-        _change_routes(state, catalog)
+        _change_routes(state, catalog, now)
     state.catalog = catalog
     effects = _change_upstreams(state, catalog, now)
     _index(state)
     return effects
 
 
-def _change_routes(state: PacketState, catalog: Catalog) -> None:
+def _change_routes(
+    state: PacketState,
+    catalog: Catalog,
+    now: float,
+) -> None:
     make_key = state.format.make_route_key
     routes = {
         make_key(route.host, route.port): route
@@ -32,7 +36,7 @@
     }
     for key, route in state.routes.items():
         if key not in routes:
-            state.former_routes[key] = route
+            state.former_routes[key] = FormerRoute(route, now)
     for key in routes:
         state.former_routes.pop(key, None)
     state.routes = routes
@@ -90,6 +94,17 @@
     }
 
 
+def forget_former_routes(state: PacketState, now: float) -> None:
+    """Forget dropped routes whose flows are too old to go on."""
+    old = [
+        key
+        for key, former in state.former_routes.items()
+        if now - former.dropped_at > defaults.FORMER_ROUTE_SECONDS
+    ]
+    for key in old:
+        state.former_routes.pop(key)
+
+
 def _is_over(view: AgentView, now: float) -> bool:
     since = view.gone_since
     if since is None or now - since <= defaults.GONE_SECONDS:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -26,7 +26,11 @@
     TimerFired,
 )
 from keelgap_balancer.packets.greeting import greet_agents
-from keelgap_balancer.packets.membership import change_catalog, forget_gone
+from keelgap_balancer.packets.membership import (
+    change_catalog,
+    forget_former_routes,
+    forget_gone,
+)
 from keelgap_balancer.packets.placement import choose_taker
 from keelgap_balancer.packets.search import (
     continue_search,
@@ -90,7 +94,11 @@
 def _find_route(state: PacketState, datagram: bytes) -> PacketRoute | None:
     """Return the route of an open flow, which may be a former one."""
     route_key = state.format.route_key(datagram)
-    return state.routes.get(route_key) or state.former_routes.get(route_key)
+    route = state.routes.get(route_key)
+    if route is not None:
+        return route
+    former = state.former_routes.get(route_key)
+    return None if former is None else former.route
 
 
 def _forward(owner: AgentView, datagram: bytes) -> Effects:
@@ -293,6 +301,7 @@
     state.ages.expire(now)
     expire_searches(state, now)
     forget_gone(state, now)
+    forget_former_routes(state, now)
     return greet_agents(state, now)
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -1,6 +1,7 @@
 """State of a packet balancer; its reducer alone changes it, in place."""
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from keelgap.catalog.models import NO_CATALOG, PacketRoute, PacketUpstream
 from keelgap.packets.envelopes import (
@@ -14,9 +15,15 @@
 from keelgap_balancer.packets.ages import CallerAges
 from keelgap_balancer.packets.effects import SendToAgent
 
-__all__ = ('AgentView', 'FlowOwners', 'PacketState', 'Search')
+__all__ = (
+    'AgentView',
+    'FlowOwners',
+    'FormerRoute',
+    'PacketState',
+    'Search',
+)
 
-_NO_REPORT = LoadReport(0, 0, 0, 0, closed=False)
+_NO_REPORT = LoadReport(0, 0, 0, closed=False)
 
 
 class AgentView:
@@ -97,6 +104,13 @@
         )
 
 
+class FormerRoute(NamedTuple):
+    """A route that the operators dropped."""
+
+    route: PacketRoute
+    dropped_at: float
+
+
 class FlowOwners:
     """Which agent holds a flow: soft, bounded, forgotten when not used."""
 
@@ -169,7 +183,7 @@
         self.catalog = NO_CATALOG
         self.routes: dict[bytes, PacketRoute] = {}
         #: Routes that an earlier version had; their open flows go on.
-        self.former_routes: dict[bytes, PacketRoute] = {}
+        self.former_routes: dict[bytes, FormerRoute] = {}
         #: By upstream id; those whose entry went stay for a while.
         self.agents: dict[str, AgentView] = {}
         #: By the agent's host; the latest upstream there.
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -27,7 +27,7 @@
 )
 
 _HEAD: Final = struct.Struct('!BBBBhI')
-_REPORT: Final = struct.Struct('!HHHHB')
+_REPORT: Final = struct.Struct('!HHHB')
 HEAD_LENGTH: Final = _HEAD.size
 #: The highest value of a report's field.
 _MOST: Final = 65535
@@ -92,8 +92,6 @@
     flows: int
     #: Mean time to the first octet of an answer, in milliseconds; 0 if none.
     answer_ms: int
-    #: Opening packets that the upstream gave back or left unanswered lately.
-    refused: int
     #: Whether the agent or its upstream takes no new flows.
     closed: bool
 
@@ -130,7 +128,6 @@
         min(report.busy, _MOST),
         min(report.flows, _MOST),
         min(report.answer_ms, _MOST),
-        min(report.refused, _MOST),
         report.closed,
     )
 
@@ -139,5 +136,5 @@
     """Return a report; raise MalformedEnvelope."""
     if len(content) != _REPORT.size:
         raise MalformedEnvelope(len(content))
-    busy, flows, answer_ms, refused, closed = _REPORT.unpack(content)
-    return LoadReport(busy, flows, answer_ms, refused, bool(closed))
+    busy, flows, answer_ms, closed = _REPORT.unpack(content)
+    return LoadReport(busy, flows, answer_ms, bool(closed))
--- a/tests/packets/test_agent.py
+++ b/tests/packets/test_agent.py
@@ -1,7 +1,7 @@
 """What an agent decides beside its upstream."""
 
 from typing import Any
-from unittest import TestCase
+from unittest import TestCase, mock
 
 from keelgap.packets.envelopes import (
     Envelope,
@@ -146,6 +146,17 @@
         self.assertEqual(self.hear(EnvelopeKind.FORWARD, packet[:-1]), [])
         self.assertEqual(self.hear(EnvelopeKind.REPORT, packet), [])
 
+    def test_flows_are_bounded_and_packets_still_pass(self) -> None:
+        """A flood of strangers' packets must not use up the memory."""
+        with mock.patch.object(defaults, 'MAX_FLOWS', 3):
+            for port in range(10):
+                flow = FLOW._replace(port=port)
+                packet = make_packet(flow, ACK, data=b'x')
+                (passed,) = self.hear(EnvelopeKind.SEARCH, packet)
+                self.assertIsInstance(passed, SendToUpstream)
+            self.assertEqual(len(self.state.flows), 3)
+            self.assertEqual(self.state.busy, 3)
+
     def test_bounce_with_a_mark_of_an_earlier_life_is_dropped(self) -> None:
         """Its caller repeats it."""
         packet = FORMAT.with_mark(make_packet(FLOW, ACK | BOUNCED), 99 << 16)
--- a/tests/packets/test_balancer.py
+++ b/tests/packets/test_balancer.py
@@ -43,7 +43,7 @@
 )
 
 FLOW = FlowName('100.64.0.7', 40001)
-IDLE = LoadReport(0, 0, 0, 0, closed=False)
+IDLE = LoadReport(0, 0, 0, closed=False)
 
 
 class BalancerTestCase(TestCase):
@@ -292,6 +292,16 @@
         self.assertEqual(search.envelope.kind, EnvelopeKind.SEARCH)
         self.assertIsInstance(self.send(SYN, unknown)[0], SendReset)
 
+    def test_dropped_routes_are_forgotten_in_the_end(self) -> None:
+        """Scripts drop routes many times an hour, for months."""
+        for revision in range(2, 50):
+            route = BOARD._replace(name=f'r{revision}', port=revision)
+            self.change(make_catalog(revision, self.boards, (route,)))
+        self.assertEqual(len(self.state.former_routes), 49)
+        self.now += defaults.FORMER_ROUTE_SECONDS + 1
+        self.take(TimerFired(self.now))
+        self.assertEqual(self.state.former_routes, {})
+
     def test_later_upstream_on_a_host_is_the_one_that_counts(self) -> None:
         """Addresses are used again, by other services as well."""
         reused = make_upstream(1, 'proof', generation=1)
