--- a/tests/keelgap/test_runtime.py
+++ b/tests/keelgap/test_runtime.py
@@ -7,7 +7,7 @@
 from contextlib import ExitStack
 from unittest import TestCase
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from keelgap.addresses import Address
@@ -196,6 +196,7 @@
         self.assertEqual(answer.failure, 'timeout')
         self.assertIsNone(self.client.sock)
 
+    @settings(derandomize=True, deadline=None)
     @given(st.binary(max_size=200))
     def test_odd_octets_are_no_answer(self, octets: bytes) -> None:
         """They are refused by type, or more is awaited."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,7 +4,7 @@
 from typing import Any
 from unittest import TestCase
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from keelgap.catalog.models import Entry, Share
@@ -94,6 +94,7 @@
             with self.subTest(name), self.assertRaises(MalformedDocument):
                 decode_upstream('servers/i-1', make_entry(row))
 
+    @settings(derandomize=True, deadline=None)
     @given(st.binary(max_size=60))
     def test_octets_that_are_no_document_are_refused(
         self,
--- a/tests/platform/test_layout.py
+++ b/tests/platform/test_layout.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from keelgap.packets.formats import Flags
@@ -56,6 +56,7 @@
         )
         self.assertEqual(FORMAT.destination_host(RESET), '100.64.0.7')
 
+    @settings(derandomize=True, deadline=None)
     @given(st.binary(min_size=34, max_size=80), st.integers(0, 2**32 - 1))
     def test_mark_comes_off_again(self, datagram: bytes, mark: int) -> None:
         """Only echo and the bounce flag ever change."""
@@ -67,6 +68,7 @@
         self.assertTrue(FORMAT.flags(bytes(bounced)) & Flags.BOUNCED)
         self.assertEqual(FORMAT.without_bounce(bytes(bounced)), clean)
 
+    @settings(derandomize=True, deadline=None)
     @given(st.binary(max_size=100))
     def test_length_is_checked(self, datagram: bytes) -> None:
         """Short, cut and padded datagrams are not whole."""
