--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -77,13 +77,14 @@
 def _index(state: PacketState) -> None:
     """Sort the agents by service and by host.
 
-    Of two upstreams that were seen on one host, one with an entry counts
-    before one without, and the one that was seen later before the other.
+    An address may be used again before the entry of its former upstream
+    lapses.  Of two upstreams on one host, one with an entry counts before
+    one without, and then the one whose entry was written later.
     """
     by_host: dict[str, AgentView] = {}
     for view in state.agents.values():
         other = by_host.get(view.host)
-        if other is None or view.gone_since is None:
+        if other is None or _rank_on_host(other) <= _rank_on_host(view):
             by_host[view.host] = view
     by_service: dict[str, list[AgentView]] = {}
     for view in by_host.values():
@@ -94,6 +95,10 @@
     }
 
 
+def _rank_on_host(view: AgentView) -> tuple[bool, int]:
+    return view.gone_since is None, view.upstream.revision
+
+
 def forget_former_routes(state: PacketState, now: float) -> None:
     """Forget dropped routes whose flows are too old to go on."""
     old = [
--- a/packages/keelgap/src/keelgap/catalog/models.py
+++ b/packages/keelgap/src/keelgap/catalog/models.py
@@ -66,6 +66,8 @@
     state: Literal['active', 'draining']
     #: Seconds for which it stays slow after its start, as it said.
     warm_up_seconds: float
+    #: Revision of the store at which its entry was written last.
+    revision: int = 0
 
 
 class Catalog(NamedTuple):
--- a/tests/packets/test_balancer.py
+++ b/tests/packets/test_balancer.py
@@ -312,6 +312,25 @@
         }
         self.assertNotIn('10.0.0.1', hosts)
 
+    def test_address_used_again_belongs_to_the_entry_written_last(
+        self,
+    ) -> None:
+        """Also in a first reading, where ids come in any order.
+
+        Found by reading the code: the entry of a dead upstream that had not
+        lapsed hid the living one of another service, and a flow of that one
+        would have been reset.
+        """
+        dead = make_upstream(1, 'proof')._replace(
+            upstream_id='z',
+            revision=5,
+        )
+        living = make_upstream(1)._replace(upstream_id='a', revision=8)
+        self.state = PacketState(FORMAT, 'a', self.now)
+        self.change(make_catalog(9, [living, dead]))
+        (search,) = self.send(ACK)
+        self.assertEqual(search.host, '10.0.0.1')
+
     def test_owner_that_denies_a_flow_is_believed(self) -> None:
         """Its upstream started anew; the others are asked, then it is over."""
         (offer,) = self.send(SYN)
