--- a/packages/keelgap/src/keelgap/catalog/defaults.py
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -7,6 +7,7 @@
     'ENTRY_RETURN_SECONDS',
     'GATHER_SECONDS',
     'PEER_FETCH_SECONDS',
+    'PROBE_SECONDS',
     'RETRY_FIRST_SECONDS',
     'RETRY_MAX_SECONDS',
     'WATCH_SECONDS',
@@ -24,9 +25,15 @@
 #: call.  A change must be in force within 3 s, drains within 3 s.
 GATHER_SECONDS: Final = 0.3
 
-#: Longest wait of one watch.  The platform allows 30 s; a silent path is
-#: found by keep-alive probes, not by this.
-WATCH_SECONDS: Final = 20.0
+#: Longest wait of one watch.  A connection may go silent for good while its
+#: other end still acknowledges octets; only the missing answer shows it.  With
+#: the second that the store may take beyond this, a lost watch is noticed
+#: after 2 s, and changes must be in force within 3 s.
+WATCH_SECONDS: Final = 1.0
+
+#: Wait of the first watch after a failed call: whether the store answers at
+#: all should be known at once.
+PROBE_SECONDS: Final = 0.05
 
 #: First pause after a failed call; about ten answer times of the store.
 RETRY_FIRST_SECONDS: Final = 0.1
--- a/packages/keelgap/src/keelgap/catalog/follower.py
+++ b/packages/keelgap/src/keelgap/catalog/follower.py
@@ -220,7 +220,7 @@
     if state.reading_after is None:
         return (
             *lost,
-            WatchChanges(pause, state.revision, defaults.WATCH_SECONDS),
+            WatchChanges(pause, state.revision, defaults.PROBE_SECONDS),
         )
     # Pages of an interrupted reading may be too old to join to new ones.
     _end_reading(state)
--- a/tests/keelgap/test_follower.py
+++ b/tests/keelgap/test_follower.py
@@ -114,6 +114,26 @@
         effects = self.take(ChangesRead(9, (), 5))
         self.assertIn(StoreRegained(9), effects)
 
+    def test_store_is_probed_before_it_is_waited_for(self) -> None:
+        """A watch sent into an outage may be lost, and nobody tells.
+
+        Found on edspa-keelgap-grown trouble-3: watches sent while the store
+        was silent hung for 22 s after its return, and CONFIG, DRAIN and FLOW
+        broke.
+        """
+        self.read_all(0, 5, 'a')
+        watch = self.take(CallFailed(1, 'timeout'))[-1]
+        self.assertEqual(
+            watch,
+            WatchChanges(
+                defaults.RETRY_FIRST_SECONDS,
+                5,
+                defaults.PROBE_SECONDS,
+            ),
+        )
+        watch = self.take(ChangesRead(1.2, (), 5))[-1]
+        self.assertEqual(watch, WatchChanges(0, 5, defaults.WATCH_SECONDS))
+
     def test_interrupted_reading_begins_anew(self) -> None:
         """Old pages are not joined to new ones."""
         self.take(PageRead(0, {'a': make_entry(3)}, 5, 'a'))
