--- a/packages/keelgap-standins/src/keelgap_standins/packet_store.py
+++ b/packages/keelgap-standins/src/keelgap_standins/packet_store.py
@@ -1,6 +1,7 @@
 """A stand-in for the store that packet programs read, on loopback."""
 
 import json
+import sys
 import threading
 from base64 import b64encode
 from contextlib import suppress
@@ -38,7 +39,7 @@
         self.swallows = False
         self.calls = 0
         handler = type('Handler', (_Handler,), {'store': self})
-        self.server = ThreadingHTTPServer((host, 0), handler)
+        self.server = _Server((host, 0), handler)
         self.server.daemon_threads = True
         self.address = Address(host, self.server.server_port)
         thread = threading.Thread(target=self.server.serve_forever)
@@ -97,6 +98,14 @@
             return {'events': events, 'AsOf': self.revision}
 
 
+class _Server(ThreadingHTTPServer):
+    """Is quiet on callers that reset their connections."""
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     store: PacketStore
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -25,6 +25,7 @@
 #: before the entry lapses.
 _HEARTBEAT_SECONDS: Final = 0.6
 _MISSED_HEARTBEATS: Final = 3
+_LAPSE_SECONDS: Final = _HEARTBEAT_SECONDS * _MISSED_HEARTBEATS
 _WORK_SECONDS: Final = (0.005, 0.05)
 
 
@@ -78,7 +79,11 @@
         self.transport = transport
 
     def start(self) -> None:
-        """Start without flows, under a new id."""
+        """Start without flows, under a new id; the former entry lapses."""
+        self._lose_flows()
+        former = self._key
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LAPSE_SECONDS, lambda: self.store.remove(former))
         self.starts += 1
         self.upstream_id = f'{self.place.name}-{self.starts}'
         self.alive = True
