--- a/experiments/days.py
+++ b/experiments/days.py
@@ -68,6 +68,14 @@
     {'kind': 'config_change', 'how': 'idle'},
     {'kind': 'config_storm', 'for_s': 4.0, 'gap_s': 0.2},
 )
+#: Troubles of grown sites only; drawn as the site's file lists them.
+GROWN_KINDS = frozenset((
+    'srv_flap',
+    'srv_lying_health',
+    'shift',
+    'scale_out',
+    'big_config',
+))
 _LAST_START = 26.0
 
 
@@ -84,7 +92,12 @@
     day['slot'] = 'trouble'
     day['seed'] = random.randrange(10**9)
     day['traffic'] = model['traffic']
-    day['faults'] = _place(random, FAULTS, random.choice((2, 3)))
+    grown = tuple(
+        trouble
+        for trouble in site['troubles']
+        if trouble['kind'] in GROWN_KINDS
+    )
+    day['faults'] = _place(random, (*FAULTS, *grown), random.choice((2, 3)))
     day['plan'] = _place(random, PLANS, random.choice((1, 2, 3)))
     if random.random() < 0.3:
         day['closing'] = {
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -196,18 +196,10 @@
         self._run_balancer(BALANCERS[1], away)
         self.advance(balancer_defaults.HELLO_SECONDS)
         self.deliver_all()
-        row = self._get_upstream(number).row
-        self.listed.pop(row.upstream_id, None)
-        self.revision += 1
+        row = self._take_from_list(number)
         self.restart_balancer(BALANCERS[0])
-        for key in sorted(self.accepted & self.flows.keys()):
-            packet = make_packet(self.flows[key], ACK, data=b'GET')
-            self._send(BALANCERS[0], packet)
-            self.deliver_all()
-        self.listed[row.upstream_id] = row
-        self.revision += 1
-        for host in BALANCERS:
-            self.learn(host)
+        self._speak_on_all_flows(BALANCERS[0])
+        self._put_on_list(row)
 
     @rule(number=st.sampled_from(HOSTS), accepts=st.booleans())
     def fill(self, number: int, accepts: bool) -> None:  # noqa: FBT001
@@ -217,24 +209,14 @@
     @rule(number=st.sampled_from(HOSTS))
     def lapse(self, number: int) -> None:
         """Let a living upstream's entry go and come back in time."""
-        row = self._get_upstream(number).row
-        self.listed.pop(row.upstream_id, None)
-        self.revision += 1
+        row = self._take_from_list(number)
         for host in BALANCERS:
             self.learn(host)
         self.advance(balancer_defaults.GONE_SECONDS / 2)
         # The routers move all flows, and a balancer must find them.
         self.balancers[BALANCERS[0]].owners = FlowOwners(self.now)
-        for key in sorted(self.accepted & self.flows.keys()):
-            if key not in self.flows:
-                continue
-            packet = make_packet(self.flows[key], ACK, data=b'GET')
-            self._send(BALANCERS[0], packet)
-            self.deliver_all()
-        self.listed[row.upstream_id] = row
-        self.revision += 1
-        for host in BALANCERS:
-            self.learn(host)
+        self._speak_on_all_flows(BALANCERS[0])
+        self._put_on_list(row)
 
     @rule(number=st.sampled_from(HOSTS))
     def cut(self, number: int) -> None:
@@ -413,6 +395,30 @@
         self.agents[host] = AgentState(FORMAT, service, self.now)
         self.listed[row.upstream_id] = row
 
+    def _take_from_list(self, number: int) -> PacketUpstream:
+        """Let a living upstream's entry lapse; return it."""
+        row = self._get_upstream(number).row
+        self.listed.pop(row.upstream_id, None)
+        self.revision += 1
+        return row
+
+    def _put_on_list(self, row: PacketUpstream) -> None:
+        """Let an entry come back, and all balancers learn of it."""
+        self.listed[row.upstream_id] = row
+        self.revision += 1
+        for host in BALANCERS:
+            self.learn(host)
+
+    def _speak_on_all_flows(self, host: str) -> None:
+        """Send data on each accepted flow through one balancer."""
+        for key in sorted(self.accepted & self.flows.keys()):
+            if key not in self.flows:
+                # An earlier packet led to its reset.
+                continue
+            packet = make_packet(self.flows[key], ACK, data=b'GET')
+            self._send(host, packet)
+            self.deliver_all()
+
     def _tell_others(self, host: str) -> None:
         """Balancers tell each other at once of a catalog in force."""
         stamp = self.balancers[host].make_stamp()
