--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -37,6 +37,7 @@
 from keelgap_balancer.packets.search import (
     continue_search,
     expire_searches,
+    pass_over_silent,
     resume_parked,
     take_unknown_flow,
 )
@@ -313,7 +314,7 @@
     expire_searches(state, now)
     forget_gone(state, now)
     forget_former_routes(state, now)
-    return greet_agents(state, now)
+    return (*pass_over_silent(state, now), *greet_agents(state, now))
 
 
 _ENVELOPE_HANDLERS: Final[
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -16,6 +16,7 @@
 __all__ = (
     'continue_search',
     'expire_searches',
+    'pass_over_silent',
     'resume_parked',
     'take_unknown_flow',
 )
@@ -56,8 +57,9 @@
 ) -> Effects:
     """Ask the next agent, or come to a verdict."""
     search = state.searches[key]
+    search.latest = datagram
     unanswered = []
-    for view in _rank(state, route, key):
+    for view in _rank(state, route, key, now):
         if view.host in search.missed:
             continue
         if view.host not in search.asked:
@@ -136,6 +138,42 @@
     return SendReset(datagram), Decided('reset_dead_flow', fields)
 
 
+def pass_over_silent(state: PacketState, now: float) -> Effects:
+    """Ask the next agent where the last one did not answer in time.
+
+    Callers repeat their packets too seldom to wait for that.
+    """
+    effects: list[PacketEffect] = []
+    late = [
+        (key, search)
+        for key, search in state.searches.items()
+        if search.pending is not None
+        and now - search.pending_since >= defaults.SEARCH_STEP_SECONDS
+    ]
+    for key, search in late:
+        route = state.find_route(search.latest)
+        if route is not None and _has_others(state, route, search):
+            search.pending = None
+            effects.extend(
+                continue_search(state, route, key, search.latest, now),
+            )
+    return tuple(effects)
+
+
+def _has_others(
+    state: PacketState,
+    route: PacketRoute,
+    search: Search,
+) -> bool:
+    """Return whether there are agents that were not asked yet."""
+    asked = set(search.asked)
+    return any(
+        view.host not in asked
+        for share in route.shares
+        for view in state.by_service.get(share.service, ())
+    )
+
+
 def resume_parked(state: PacketState, now: float) -> Effects:
     """Go on with searches that waited for a later catalog."""
     effects: list[PacketEffect] = []
@@ -159,8 +197,12 @@
     state: PacketState,
     route: PacketRoute,
     key: bytes,
+    now: float,
 ) -> list[AgentView]:
-    """Return the agents that may hold a flow, the likely ones first."""
+    """Return the agents that may hold a flow, the likely ones first.
+
+    Those that went, or do not answer, come last: each takes a pause.
+    """
     members = [
         view
         for share in route.shares
@@ -168,6 +210,7 @@
     ]
     members.sort(
         key=lambda view: (
+            view.gone_since is not None or view.is_quiet(now),
             not state.is_near(view),
             xxh3_64_intdigest(key, view.seed),
         ),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -157,6 +157,7 @@
 
     __slots__ = (
         'asked',
+        'latest',
         'may_lack_entries',
         'missed',
         'parked',
@@ -168,6 +169,8 @@
     def __init__(self, now: float) -> None:
         """Start before anybody was asked."""
         self.started = now
+        #: Latest packet of the flow, with which the next agent is asked.
+        self.latest = b''
         #: Packet that waits for a later catalog, after everybody said no.
         self.parked: bytes | None = None
         #: Whether an agent warned that living upstreams may have no entry.
--- a/tests/packets/test_balancer.py
+++ b/tests/packets/test_balancer.py
@@ -288,6 +288,39 @@
         packet = make_packet(FLOW, ACK)
         self.assertEqual(self.find_nobody(), [SendReset(packet)])
 
+    def test_silent_agents_are_passed_over_without_another_packet(
+        self,
+    ) -> None:
+        """Callers repeat a packet after 0.2 s, 0.4 s, 0.8 s and 1.6 s.
+
+        Found on hizlitur-pano-grown trouble-1 (hunted seed 361842089419):
+        with several silent agents a search was given up before it came to
+        the owner, began anew, and FLOW was broken after 3 s.
+        """
+        asked = [self.send(ACK)[0].host]
+        for _ in range(2):
+            self.now += defaults.SEARCH_STEP_SECONDS
+            sent = self.take(TimerFired(self.now))
+            asked += [
+                effect.host
+                for effect in sent
+                if isinstance(effect, SendToAgent)
+                and effect.envelope.kind == EnvelopeKind.SEARCH
+            ]
+        self.assertEqual(len(set(asked)), len(self.boards))
+
+    def test_agents_that_went_or_are_silent_are_asked_last(self) -> None:
+        """Each of them may take a pause."""
+        gone, silent, living = self.boards
+        self.change(make_catalog(2, [silent, living]))
+        self.now += defaults.HELLO_SECONDS
+        self.take(TimerFired(self.now))
+        self.now += defaults.QUIET_SECONDS + 0.1
+        self.report(living.address.host)
+        for port in range(20):
+            (search,) = self.send(ACK, FLOW._replace(port=port))
+            self.assertEqual(search.host, living.address.host)
+
     def test_silence_is_no_denial(self) -> None:
         """The owner may be cut off, alive with its flows."""
         for host in ('10.0.0.1', '10.0.0.2', '10.0.0.3'):
