--- a/experiments/readers_model.py
+++ b/experiments/readers_model.py
@@ -40,9 +40,7 @@
         self.peers = Peers(host, seeds)
         self.readers = Readers(host)
         self.revision = 1
-        self.messages = 0
         self.octets = 0
-        self.fetches = 0
 
 
 class Fleet:
@@ -86,7 +84,6 @@
             node.readers.make_claims(self.now),
         )
         content = encode_gossip(gossip)
-        node.messages += 1
         node.octets += len(content) + HEADS
         receiver = self.nodes.get(host)
         if receiver is not None and self.random.random() >= LOSS:
@@ -104,7 +101,6 @@
             self.tell_one(node, sender)
         if gossip.revision > node.revision:
             node.revision = gossip.revision
-            node.fetches += 1
             # What is in force is told at once.
             self.tell(node)
 
@@ -134,7 +130,6 @@
         fleet.run_round()
         settled.append(len(fleet.list_readers()))
     for node in fleet.nodes.values():
-        node.messages = 0
         node.octets = 0
     began = fleet.now
     for _ in range(20):
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -167,11 +167,15 @@
 ) -> bool:
     """Return whether there are agents that were not asked yet."""
     asked = set(search.asked)
-    return any(
-        view.host not in asked
+    return any(view.host not in asked for view in _list_members(state, route))
+
+
+def _list_members(state: PacketState, route: PacketRoute) -> list[AgentView]:
+    return [
+        view
         for share in route.shares
         for view in state.by_service.get(share.service, ())
-    )
+    ]
 
 
 def resume_parked(state: PacketState, now: float) -> Effects:
@@ -203,11 +207,7 @@
 
     Those that went, or do not answer, come last: each takes a pause.
     """
-    members = [
-        view
-        for share in route.shares
-        for view in state.by_service.get(share.service, ())
-    ]
+    members = _list_members(state, route)
     members.sort(
         key=lambda view: (
             view.gone_since is not None or view.is_quiet(now),
