--- a/packages/keelgap/src/keelgap/catalog/defaults.py
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -5,6 +5,8 @@
 __all__ = (
     'BEHIND_SECONDS',
     'ENTRY_RETURN_SECONDS',
+    'FIRST_PAGE_SECONDS',
+    'FIRST_RETRY_MAX_SECONDS',
     'GATHER_SECONDS',
     'KEPT_CHANGES',
     'MAX_TOLD_BY_READER',
@@ -27,6 +29,14 @@
 #: within about 2 s of its return, the platform says; a quarter more.
 ENTRY_RETURN_SECONDS: Final = 2.5
 
+#: Before the first catalog nobody is served, so a first page that has not
+#: come for so long is asked for again on another connection; both calls wait.
+#: 50 answer times of the store.
+FIRST_PAGE_SECONDS: Final = 0.2
+
+#: Longest pause after failed calls before the first catalog.
+FIRST_RETRY_MAX_SECONDS: Final = 0.2
+
 #: Pause before the next watch, so that changes that come together cost one
 #: call.  A change must be in force within 3 s, drains within 3 s.
 GATHER_SECONDS: Final = 0.3
--- a/packages/keelgap/src/keelgap/catalog/driver.py
+++ b/packages/keelgap/src/keelgap/catalog/driver.py
@@ -16,6 +16,7 @@
     EntriesChanged,
     FetchSnapshot,
     FollowerEffect,
+    ReadFirstPageAgain,
     ReadPage,
     StoreLost,
     StoreRegained,
@@ -52,6 +53,9 @@
     def read_page(self, after: str) -> None:
         """Read entries behind a key."""
 
+    def read_first_page_again(self) -> None:
+        """Read the first page while earlier calls for it still wait."""
+
     def watch(self, revision: int, wait_seconds: float) -> None:
         """Wait for changes after a revision."""
 
@@ -84,6 +88,7 @@
         self.peer_client: HttpClient | None = None
         self.handlers = MappingProxyType[type, Callable[[Any], None]]({
             ReadPage: self._read_page,
+            ReadFirstPageAgain: self._read_first_page_again,
             WatchChanges: self._watch,
             FetchSnapshot: self._fetch,
             EntriesChanged: self._change,
@@ -144,6 +149,13 @@
     def _read_page(self, effect: ReadPage) -> None:
         self._later(effect.delay, lambda: self.store.read_page(effect.after))
 
+    def _read_first_page_again(self, effect: ReadFirstPageAgain) -> None:
+        self.lines.decide(
+            'first_page_asked_again',
+            waited=round(self.loop.clock() - self.state.answered_at, 3),
+        )
+        self.store.read_first_page_again()
+
     def _watch(self, effect: WatchChanges) -> None:
         # Changes may have come from a peer during the pause.
         self._later(
--- a/packages/keelgap/src/keelgap/catalog/effects.py
+++ b/packages/keelgap/src/keelgap/catalog/effects.py
@@ -8,6 +8,7 @@
     'EntriesChanged',
     'FetchSnapshot',
     'FollowerEffect',
+    'ReadFirstPageAgain',
     'ReadPage',
     'StoreLost',
     'StoreRegained',
@@ -22,6 +23,10 @@
     after: str
 
 
+class ReadFirstPageAgain(NamedTuple):
+    """Ask once more, while earlier calls for the first page still wait."""
+
+
 class WatchChanges(NamedTuple):
     """Ask the store for what comes after a revision."""
 
@@ -62,6 +67,7 @@
 
 FollowerEffect = (
     ReadPage
+    | ReadFirstPageAgain
     | WatchChanges
     | FetchSnapshot
     | EntriesChanged
--- a/packages/keelgap/src/keelgap/catalog/follower.py
+++ b/packages/keelgap/src/keelgap/catalog/follower.py
@@ -13,6 +13,7 @@
 from keelgap.catalog.effects import (
     FetchSnapshot,
     FollowerEffect,
+    ReadFirstPageAgain,
     ReadPage,
     StoreLost,
     StoreRegained,
@@ -153,8 +154,9 @@
         lost = (StoreLost(event.reason),)
     pause = min(
         defaults.RETRY_FIRST_SECONDS * 2**state.failures,
-        state.longest_pause,
+        _choose_longest_pause(state),
     )
+    state.first_page_asked_at = event.now + pause
     state.failures = min(state.failures + 1, _MAX_DOUBLINGS)
     if state.reading_after is None:
         return (
@@ -167,6 +169,14 @@
     return (*lost, ReadPage(pause, ''))
 
 
+def _choose_longest_pause(state: FollowerState) -> float:
+    """Return how long to pause at most; nobody is served without a catalog."""
+    if state.complete:
+        return state.longest_pause
+    share = state.longest_pause / defaults.RETRY_MAX_SECONDS
+    return defaults.FIRST_RETRY_MAX_SECONDS * share
+
+
 def _note_peer(state: FollowerState, event: PeerAhead) -> Effects:
     if event.revision <= state.revision:
         return ()
@@ -177,7 +187,21 @@
 
 
 def _handle_timer(state: FollowerState, event: TimerFired) -> Effects:
-    return _fetch(state, event.now)
+    return (*_fetch(state, event.now), *_ask_again(state, event.now))
+
+
+def _ask_again(state: FollowerState, now: float) -> Effects:
+    """Ask for the first page once more while the store is silent.
+
+    A call sent into the silence may never be answered, and the store may be
+    back at any moment.
+    """
+    reads_first_page = not state.complete and not state.reading_after
+    waited = now - state.first_page_asked_at
+    if not reads_first_page or waited < defaults.FIRST_PAGE_SECONDS:
+        return ()
+    state.first_page_asked_at = now
+    return (ReadFirstPageAgain(),)
 
 
 def _fetch(state: FollowerState, now: float) -> Effects:
--- a/packages/keelgap/src/keelgap/catalog/models.py
+++ b/packages/keelgap/src/keelgap/catalog/models.py
@@ -42,6 +42,8 @@
     priority: int = 0
     #: Seconds within which an answer is worth its full price.
     aim_seconds: float = 1.0
+    #: Seconds after which a caller no longer waits for an answer.
+    timeout_seconds: float = 30.0
 
 
 class RouteSet(NamedTuple):
--- a/packages/keelgap/src/keelgap/catalog/state.py
+++ b/packages/keelgap/src/keelgap/catalog/state.py
@@ -44,6 +44,8 @@
         self.answered_at = now
         #: Whether a full reading, ours or a peer's, was ever taken.
         self.complete = False
+        #: When the first page was last asked for, or will be.
+        self.first_page_asked_at = now
         self.fetched_at = float('-inf')
         self.peer_ahead: PeerAhead | None = None
         #: When a peer was first heard to hold more than this process.
--- a/tests/keelgap/test_follower.py
+++ b/tests/keelgap/test_follower.py
@@ -16,6 +16,7 @@
     EntriesChanged,
     FetchSnapshot,
     FollowerEffect,
+    ReadFirstPageAgain,
     ReadPage,
     StoreLost,
     StoreRegained,
@@ -142,6 +143,38 @@
         watch = self.take(ChangesRead(1.2, (), 5))[-1]
         self.assertEqual(watch, WatchChanges(0, 5, defaults.WATCH_SECONDS))
 
+    def test_silent_store_is_asked_again_for_the_first_page(self) -> None:
+        """A call sent into the silence is never answered.
+
+        Found on fjordflis-tiles scale-2: the store was back 0.4 s before the
+        first reading timed out, and nobody was served meanwhile.
+        """
+        pause = defaults.FIRST_PAGE_SECONDS
+        self.assertEqual(self.take(TimerFired(pause / 2)), ())
+        again = (ReadFirstPageAgain(),)
+        self.assertEqual(self.take(TimerFired(pause)), again)
+        self.assertEqual(self.take(TimerFired(1.5 * pause)), ())
+        self.assertEqual(self.take(TimerFired(2 * pause)), again)
+        self.read_all(3 * pause, 5, 'a')
+        self.assertEqual(self.take(TimerFired(9)), ())
+
+    def test_pauses_are_short_until_there_is_a_catalog(self) -> None:
+        """Nobody is served before; many processes still call seldom."""
+        pauses = []
+        for number in range(4):
+            reading = self.take(CallFailed(number, 'status_503'))[-1]
+            pauses.append(reading.delay)  # type: ignore[union-attr]
+        self.assertEqual(pauses[0], defaults.RETRY_FIRST_SECONDS)
+        self.assertEqual(pauses[-1], defaults.FIRST_RETRY_MAX_SECONDS)
+        processes = 5 * defaults.READERS
+        self.take(ReadingDecided(5, reads=True, processes=processes))
+        self.take(CallFailed(5, 'status_503'))
+        later = self.take(CallFailed(6, 'status_503'))[-1]
+        longest = 5 * defaults.FIRST_RETRY_MAX_SECONDS
+        self.assertEqual(later, ReadPage(longest, ''))
+        # The planned reading is not doubled by another.
+        self.assertEqual(self.take(TimerFired(6 + longest)), ())
+
     def test_interrupted_reading_begins_anew(self) -> None:
         """Old pages are not joined to new ones."""
         self.take(PageRead(0, {'a': make_entry(3)}, 5, 'a'))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,97 @@
+"""The client of the platform's store, on connections of the test."""
+
+import json
+from collections.abc import Callable
+from typing import cast
+from unittest import TestCase, mock
+
+from keelgap.addresses import Address
+from keelgap.catalog.events import CallFailed, FollowerEvent, PageRead
+from keelgap.runtime.http import HttpAnswer
+from keelgap.runtime.loop import EventLoop
+from keelgap_platform import store
+
+STORE = Address('10.200.1.7', 8169)
+PAGE = HttpAnswer(
+    200,
+    json.dumps({'items': [], 'HasMore': False, 'AsOf': 7}).encode(),
+)
+LOST = HttpAnswer(0, b'', 'timeout')
+
+
+class FakeConnection:
+    """Keeps the call that waits on it."""
+
+    def __init__(self, loop: EventLoop, address: Address) -> None:
+        """Start without a call."""
+        self.on_answer: Callable[[HttpAnswer], None] | None = None
+
+    def get(
+        self,
+        target: str,
+        timeout: float,
+        on_answer: Callable[[HttpAnswer], None],
+    ) -> None:
+        """Wait."""
+        self.on_answer = on_answer
+
+    def close(self) -> None:
+        """Forget the call."""
+        self.on_answer = None
+
+    def answer(self, answer: HttpAnswer) -> None:
+        """Let an answer come, if the call still waits."""
+        on_answer = self.on_answer
+        self.on_answer = None
+        if on_answer is not None:
+            on_answer(answer)
+
+
+class FirstPageTests(TestCase):
+    """The first page may be asked for on several connections at once."""
+
+    def setUp(self) -> None:
+        """Ask twice."""
+        self.connections: list[FakeConnection] = []
+        self.events: list[FollowerEvent] = []
+        patched = mock.patch.object(store, 'HttpClient', self._connect)
+        patched.start()
+        self.addCleanup(patched.stop)
+        loop = cast(EventLoop, mock.Mock(clock=lambda: 1.0))
+        self.client = store.StoreClient(
+            loop,
+            STORE,
+            self.events.append,
+            mock.Mock(),
+        )
+        self.client.read_page('')
+        self.client.read_first_page_again()
+
+    def test_first_answer_counts_and_ends_the_other_calls(self) -> None:
+        """Whichever connection brings it; the next call goes on with it."""
+        first, second = self.connections
+        second.answer(PAGE)
+        first.answer(PAGE)
+        self.assertEqual(self.events, [PageRead(1.0, {}, 7, '')])
+        self.client.watch(7, 1.0)
+        self.assertIsNotNone(second.on_answer)
+        self.assertIsNone(first.on_answer)
+
+    def test_slow_store_still_answers_the_first_call(self) -> None:
+        """A second call must not cost the answer to the first."""
+        first, _ = self.connections
+        first.answer(PAGE)
+        self.assertEqual(self.events, [PageRead(1.0, {}, 7, '')])
+
+    def test_failure_is_told_when_no_call_waits(self) -> None:
+        """Once, not for each connection."""
+        first, second = self.connections
+        first.answer(LOST)
+        self.assertEqual(self.events, [])
+        second.answer(LOST)
+        self.assertEqual(self.events, [CallFailed(1.0, 'timeout')])
+
+    def _connect(self, loop: EventLoop, address: Address) -> FakeConnection:
+        connection = FakeConnection(loop, address)
+        self.connections.append(connection)
+        return connection
