--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -78,7 +78,7 @@
 
 #: A caller from an outage goes before all others when it may leave within
 #: this.  0.3 s, 0.6 s and 1.5 s served equally many.
-RESCUE_SECONDS: Final = 0.6
+RESCUE_SECONDS: Final = 0.3
 
 #: Requests of one flow remembered for logs until they are answered.
 MAX_SEEN_REQUESTS: Final = 8
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -81,7 +81,8 @@
     age_ms: int
     #: Milliseconds until it gives this flow up, at the latest.
     patience_ms: int
-    #: Milliseconds for which it surely still waits.
+    #: Milliseconds for which it surely wants an answer; beyond its patience if
+    #: it can try again.
     assured_ms: int
 
 
