--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -1,31 +1,39 @@
-"""Which new flows the upstream gets, and when.
+"""Which requests the upstream gets, and when.
 
 An upstream serves its queue in order, so after an outage everybody would be
-late: those who came back first, and all who come after them.  New flows wait
-here instead.  Those that can still be answered in time go first, by priority;
-those that waited long are late in any case and get what room is left.
-Nothing is held that is not meant to be served.
+late: those who came back first, and all who come after them.  So opening
+packets pass at once, and the first request of a flow waits here until the
+upstream has room.  A caller whose flow is open stays with it until its answer
+comes or its time is over, and says so when it leaves; one that gets no answer
+to its opening packet sends copies, which may open the flow at a second
+upstream, and gives up after 1.4 s, which nobody tells.
+
+Those who return after an outage go first when they are about to leave, then
+those that can be answered in time, by priority; the others get what room is
+left.  Nothing waits that is not meant to be served.
 """
 
 from collections.abc import Callable
 from typing import Final
 
+from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.formats import ENDS_FLOW
 from keelgap.packets.openings import OPENING_SECONDS
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import (
     AgentEffect,
     Decided,
-    SendToUpstream,
+    Observed,
 )
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.request_log import note_request
 from keelgap_agent.packets.state import AgentState, Flow, Held
 
 __all__ = (
-    'end_idle_openings',
-    'forget_late',
-    'give_back_all',
+    'release_all',
     'release_held',
     'take_opening',
+    'take_waiting',
 )
 
 Effects = tuple[AgentEffect, ...]
@@ -37,77 +45,121 @@
     key: bytes,
     event: EnvelopeArrived,
 ) -> Effects:
-    """Pass the first packet of a flow on, hold it, or give it back."""
+    """Pass the first packet of a flow on, or give it back."""
+    now = event.now
     state.balancers.owed.add(event.sender)
-    state.note_opening(event.now)
-    if key in state.held:
-        return (Decided('copy_of_held'),)
+    state.note_opening(now)
     envelope = event.envelope
     if envelope.slots:
         state.slots = envelope.slots
-    held = _make_held(state, event)
     if state.stopping_since is not None:
-        return _give_back(state, held, 'miss_closed')
+        return _give_back(state, event, 'miss_closed')
     if len(state.flows) >= defaults.MAX_FLOWS:
-        return _give_back(state, held, 'miss_full')
-    if state.has_room and not state.held:
-        return (_pass(state, key, held, event.now),)
-    state.held[key] = held
-    displaced: Effects = ()
-    if len(state.held) > state.slots * defaults.HELD_PER_SLOT:
-        last = min(state.held, key=_rank_held(state, event.now))
-        displaced = _give_back(
-            state,
-            state.held.pop(last),
-            'miss_queue_full',
-        )
-    fields = {
-        'flow': state.format.describe_key(key),
-        'left_ms': envelope.left_ms,
-        'busy': state.busy,
-        'waiting': len(state.held),
-    }
-    return (
-        Decided('held', fields),
-        *displaced,
-        *release_held(state, event.now),
+        return _give_back(state, event, 'miss_full')
+    if len(state.held) >= state.slots * defaults.HELD_PER_SLOT:
+        return _give_back(state, event, 'miss_queue_full')
+    state.flows[key] = Flow(now)
+    state.held[key] = _make_held(state, event)
+    return (state.pass_on(event.sender, envelope),)
+
+
+def take_waiting(
+    state: AgentState,
+    key: bytes,
+    event: EnvelopeArrived,
+) -> Effects:
+    """Take a packet of a flow whose first request has not been passed on."""
+    envelope = event.envelope
+    datagram = envelope.content
+    if envelope.kind == EnvelopeKind.OPEN:
+        return (state.pass_on(event.sender, envelope),)
+    owned: Effects = ()
+    if envelope.kind == EnvelopeKind.SEARCH:
+        owned = (state.send(event.sender, EnvelopeKind.OWNED, key),)
+    held = state.held[key]
+    if state.format.flags(datagram) & ENDS_FLOW:
+        state.held.pop(key)
+        state.flows[key].ended = True
+        left = Decided('left_waiting', _describe(state, key, held, event.now))
+        return (*owned, state.pass_on(event.sender, envelope), left)
+    if not state.format.data_length(datagram):
+        return owned
+    is_first = not held.packets
+    if len(held.packets) < defaults.MAX_HELD_PACKETS:
+        held.packets[state.format.sequence(datagram)] = event
+    released = release_held(state, event.now)
+    if is_first and key in state.held:
+        fields = _describe(state, key, held, event.now)
+        released = (*released, Decided('held', fields))
+    return (*owned, *released)
+
+
+def release_held(state: AgentState, now: float) -> Effects:
+    """Pass on what the upstream has room for, the first in rank first."""
+    effects: list[AgentEffect] = list(_forget_late(state, now))
+    while state.has_room:
+        ready = [key for key, held in state.held.items() if held.packets]
+        if not ready:
+            break
+        key = max(ready, key=_rank_held(state, now))
+        effects.extend(_release(state, key, now))
+    return tuple(effects)
+
+
+def release_all(state: AgentState, now: float) -> Effects:
+    """Pass on all that waits, since this process is about to end."""
+    return tuple(
+        effect
+        for key in tuple(state.held)
+        for effect in _release(state, key, now)
     )
 
 
+def _release(state: AgentState, key: bytes, now: float) -> Effects:
+    held = state.held.pop(key)
+    flow = state.flows[key]
+    effects: list[AgentEffect] = []
+    for sequence in sorted(held.packets):
+        event = held.packets[sequence]
+        datagram = event.envelope.content
+        state.note_data(flow, sequence, now)
+        effects.append(state.pass_on(event.sender, event.envelope))
+        effects.extend(note_request(state, key, flow, datagram, now))
+    effects.append(Observed('wait_seconds', now - held.came))
+    return tuple(effects)
+
+
 def _make_held(state: AgentState, event: EnvelopeArrived) -> Held:
-    envelope = event.envelope
-    wait = envelope.wait
+    wait = event.envelope.wait
     now = event.now
     began = now - wait.age_ms / _MILLISECONDS
-    due = None
-    if began < state.resumed_at + OPENING_SECONDS:
-        due = now + wait.assured_ms / _MILLISECONDS - state.answer_seconds
-    left = envelope.left_ms / _MILLISECONDS
+    left = event.envelope.left_ms / _MILLISECONDS
     return Held(
-        sender=event.sender,
-        envelope=envelope,
-        given_up=now + wait.patience_ms / _MILLISECONDS,
-        in_time=now + left - state.answer_seconds,
-        due=due,
+        came=now,
+        priority=event.envelope.priority,
+        in_time=now + left,
+        assured=now + wait.assured_ms / _MILLISECONDS,
+        leaves=now + wait.patience_ms / _MILLISECONDS,
+        is_from_outage=began < state.resumed_at + OPENING_SECONDS,
+        packets={},
     )
 
 
-def forget_late(state: AgentState, now: float) -> Effects:
-    """Drop new flows whose callers have given them up by now."""
-    arrival = now + state.handshakes.mean
-    late = [key for key, held in state.held.items() if arrival >= held.given_up]
+def _forget_late(state: AgentState, now: float) -> Effects:
+    """Drop flows whose callers have left by now without a word."""
+    late = [key for key, held in state.held.items() if now >= held.leaves]
     for key in late:
-        state.held.pop(key)
+        state.forget(key)
     return tuple(Decided('held_too_long') for _ in late)
 
 
 def _give_back(
     state: AgentState,
-    held: Held,
+    event: EnvelopeArrived,
     reason: str,
 ) -> Effects:
-    envelope = held.envelope
-    miss = state.give_back(held.sender, envelope)
+    envelope = event.envelope
+    miss = state.give_back(event.sender, envelope)
     fields = {
         'flow': state.format.describe_key(
             state.format.caller_key(envelope.content),
@@ -120,55 +172,23 @@
     return miss, Decided(reason, fields)
 
 
-def _pass(
+def _describe(
     state: AgentState,
     key: bytes,
     held: Held,
     now: float,
-) -> SendToUpstream:
-    flow = Flow(now)
-    flow.offered = True
-    state.flows[key] = flow
-    # Its request follows within a round trip and needs a slot.
-    state.start_request(flow, now)
-    state.openings[key] = flow
-    return state.pass_on(held.sender, held.envelope)
-
-
-def end_idle_openings(state: AgentState, now: float) -> None:
-    """Free the room of new flows whose request never came."""
-    patience = state.handshakes.patience
-    for key, flow in tuple(state.openings.items()):
-        if now - flow.opened > patience:
-            state.openings.pop(key)
-            state.cancel_request(flow)
-            state.handshakes.note_left()
+) -> dict[str, object]:
+    return {
+        'flow': state.format.describe_key(key),
+        'left_ms': round((held.in_time - now) * _MILLISECONDS),
+        'from_outage': held.is_from_outage,
+        'busy': state.busy,
+        'waiting': len(state.held),
+    }
 
 
 def _rank_held(
     state: AgentState,
     now: float,
 ) -> Callable[[bytes], tuple[int, int, float]]:
-    return lambda key: state.held[key].rank(now)
-
-
-def release_held(state: AgentState, now: float) -> Effects:
-    """Pass on what the upstream has room for, the first in rank first."""
-    end_idle_openings(state, now)
-    effects: list[AgentEffect] = list(forget_late(state, now))
-    while state.held and state.has_room:
-        key = max(state.held, key=_rank_held(state, now))
-        held = state.held.pop(key)
-        effects.append(_pass(state, key, held, now))
-    return tuple(effects)
-
-
-def give_back_all(state: AgentState) -> Effects:
-    """Return all that waits to the balancers, who know other takers."""
-    held = tuple(state.held.values())
-    state.held.clear()
-    return tuple(
-        effect
-        for one in held
-        for effect in _give_back(state, one, 'miss_closed')
-    )
+    return lambda key: state.held[key].rank(now, state.answer_seconds)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -10,13 +10,12 @@
     'FLOW_SECONDS',
     'HELD_PER_SLOT',
     'MAX_FLOWS',
+    'MAX_HELD_PACKETS',
     'MAX_SEEN_REQUESTS',
-    'MIN_REQUEST_SECONDS',
     'OFFER_SECONDS',
     'OUTAGE_SECONDS',
     'REPORT_IDLE_SECONDS',
     'REPORT_SECONDS',
-    'REQUEST_SECONDS',
     'RESCUE_SECONDS',
     'STOP_SECONDS',
     'SUBSCRIBED_SECONDS',
@@ -59,13 +58,6 @@
 #: caller's request is still one round trip away.
 EXTRA_SLOTS: Final = 1
 
-#: A new flow whose request does not come within this no longer counts as
-#: work, until measured handshakes tell better.  Ten round trips to a caller.
-REQUEST_SECONDS: Final = 0.15
-
-#: Shortest such span, whatever handshakes measure; timers are late by less.
-MIN_REQUEST_SECONDS: Final = 0.02
-
 #: New flows that may wait here for each slot: a bound of memory.  Callers of
 #: 1.4 s with 5 ms of work each fill it.  Where 30 could wait, an outage of
 #: 2.5 s made 5,000 answers that a queue was full, and callers whose tries were
@@ -80,6 +72,9 @@
 #: this.  0.3 s, 0.6 s and 1.5 s served equally many.
 RESCUE_SECONDS: Final = 0.3
 
+#: Packets kept of a request that waits; callers send 16 without an answer.
+MAX_HELD_PACKETS: Final = 32
+
 #: Requests of one flow remembered for logs until they are answered.
 MAX_SEEN_REQUESTS: Final = 8
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -12,10 +12,10 @@
 from keelgap.packets.formats import ENDS_FLOW, Flags
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.admission import (
-    end_idle_openings,
-    give_back_all,
+    release_all,
     release_held,
     take_opening,
+    take_waiting,
 )
 from keelgap_agent.packets.effects import (
     AgentEffect,
@@ -103,16 +103,20 @@
             )
         state.flows[key] = flow
     flow.seen = event.now
+    if key in state.held:
+        return take_waiting(state, key, event)
     began = _note_caller_packet(state, key, flow, datagram, event.now)
     passed = state.pass_on(event.sender, envelope)
-    if envelope.kind != EnvelopeKind.SEARCH:
-        return (passed, *began)
-    if flow.confirmed:
-        owned = state.send(event.sender, EnvelopeKind.OWNED, key)
-        return (passed, owned, *began)
-    flow.asked_by = event.sender
-    # Most agents that are asked do not hold the flow; see tell_begun.
-    return (passed,)
+    # A caller that left may have made room.
+    released = release_held(state, event.now) if flow.ended else ()
+    owned: Effects = ()
+    if envelope.kind == EnvelopeKind.SEARCH:
+        if not flow.confirmed:
+            flow.asked_by = event.sender
+            # Most agents that are asked do not hold the flow; see tell_begun.
+            return (passed, *released)
+        owned = (state.send(event.sender, EnvelopeKind.OWNED, key),)
+    return (passed, *owned, *began, *released)
 
 
 def _note_caller_packet(
@@ -125,10 +129,8 @@
     if state.format.flags(datagram) & ENDS_FLOW:
         # A caller that left waits for no answer, and upstreams stop then.
         flow.ended = True
-        state.openings.pop(key, None)
         state.cancel_request(flow)
     if state.format.data_length(datagram):
-        state.openings.pop(key, None)
         sequence = state.format.sequence(datagram)
         if state.note_data(flow, sequence, now):
             return note_request(state, key, flow, datagram, now)
@@ -224,7 +226,6 @@
 
 def _update(state: AgentState, now: float) -> Effects:
     """Release those who wait, and report what changed."""
-    end_idle_openings(state, now)
     released = release_held(state, now)
     report = state.make_report()
     waited = now - state.reported_at
@@ -287,7 +288,8 @@
 def _stop(state: AgentState, event: StopRequested) -> Effects:
     """Take no new flows, and say so at once."""
     state.stopping_since = event.now
-    return (*give_back_all(state), *_report_to_all(state, event.now))
+    released = release_all(state, event.now)
+    return (*released, *_report_to_all(state, event.now))
 
 
 _KIND_NAMES: Final = MappingProxyType({
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -13,7 +13,7 @@
 from keelgap.packets.formats import PacketFormat
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import SendToBalancer, SendToUpstream
-from keelgap_agent.packets.handshakes import HandshakeTimes
+from keelgap_agent.packets.events import EnvelopeArrived
 
 __all__ = ('AgentState', 'Balancers', 'Flow', 'Held', 'SeenRequest')
 
@@ -44,7 +44,6 @@
         'caller_sequence',
         'confirmed',
         'ended',
-        'offered',
         'opened',
         'requests',
         'seen',
@@ -57,8 +56,6 @@
         self.seen = now
         #: Number of the latest data octets seen from the caller.
         self.caller_sequence: int | None = None
-        #: Whether its opening packet was passed on here.
-        self.offered = False
         #: Whether the upstream sent a packet of it.
         self.confirmed = False
         #: Whether an end closed or reset it.
@@ -72,32 +69,37 @@
 
 
 class Held(NamedTuple):
-    """An opening packet that waits until the upstream has room."""
+    """A new flow whose request waits until the upstream has room."""
 
-    sender: str
-    envelope: Envelope
-    #: When the caller gives this flow up.
-    given_up: float
+    #: When its opening packet came.
+    came: float
+    #: 0 goes first.
+    priority: int
     #: Until when an answer is not late.
     in_time: float
-    #: Until when an answer surely finds its caller, if it waits since before
-    #: this service could be reached; else None.
-    due: float | None
-
-    def rank(self, now: float) -> tuple[int, int, float]:
+    #: Until when its caller surely waits.
+    assured: float
+    #: When its caller leaves at the latest.
+    leaves: float
+    #: Whether the caller waits since before this service could be reached.
+    is_from_outage: bool
+    #: Packets of the request so far, by the number of their first octet.
+    packets: dict[int, EnvelopeArrived]
+
+    def rank(self, now: float, answer: float) -> tuple[int, int, float]:
         """Return the place in the queue; the highest goes first.
 
-        Callers from an outage come first, those who give up first at the
-        front.  Then come those that can be answered in time, by priority,
-        and those that cannot.
+        An answer takes ``answer`` seconds.  Callers from an outage come
+        first when they are about to leave.  Then come those that can be
+        answered in time, by priority, and those that cannot.
         """
-        if (
-            self.due is not None
-            and 0 < self.due - now < defaults.RESCUE_SECONDS
-        ):
-            return 2, 0, -self.due
-        priority = self.envelope.priority
-        return int(now < self.in_time), -priority, self.in_time
+        start = now + answer
+        if self.is_from_outage:
+            # Who is still here has proved that this was its first try.
+            due = self.assured if now < self.assured else self.leaves
+            if 0 < due - start < defaults.RESCUE_SECONDS:
+                return 2, 0, -due
+        return int(start < self.in_time), -self.priority, self.in_time
 
 
 class Balancers:
@@ -157,13 +159,10 @@
         self.balancers = Balancers()
         self.flows: dict[bytes, Flow] = {}
         self.busy = 0
-        #: New flows that wait for room, by their key.
+        #: New flows whose request waits for room or has not come, by key.
         self.held: dict[bytes, Held] = {}
-        #: New flows passed on, whose first request has not come.
-        self.openings: dict[bytes, Flow] = {}
         self.slots = defaults.FIRST_SLOTS
         self.answer_seconds: float = 0
-        self.handshakes = HandshakeTimes()
         #: When an opening packet came last.
         self.opening_at = float('-inf')
         #: When the first came after a time without any.
@@ -231,10 +230,8 @@
 
     @property
     def has_room(self) -> bool:
-        """Return whether the upstream can start on another new flow."""
-        openings = len(self.openings)
-        expected = self.busy - openings + openings * self.handshakes.share
-        return expected < self.slots + defaults.EXTRA_SLOTS
+        """Return whether the upstream can start on another request."""
+        return self.busy < self.slots + defaults.EXTRA_SLOTS
 
     def note_opening(self, now: float) -> None:
         """Note an opening packet; the first ones may end an outage."""
@@ -248,10 +245,7 @@
         Copies of earlier data are no new work.
         """
         latest = flow.caller_sequence
-        if latest is None:
-            if flow.offered:
-                self.handshakes.note(now - flow.opened)
-        else:
+        if latest is not None:
             ahead = (sequence - latest) % _SEQUENCE_NUMBERS
             if not 0 < ahead < _HALF:
                 return False
@@ -285,7 +279,7 @@
 
     def forget(self, key: bytes) -> None:
         """Drop a flow."""
-        self.openings.pop(key, None)
+        self.held.pop(key, None)
         flow = self.flows.pop(key, None)
         if flow is not None:
             self.cancel_request(flow)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -39,17 +39,13 @@
     Where earlier tries of the caller may have gone unseen, this one may be
     its second.
     """
-    on_flow = OPENING_SECONDS - waited.on_flow
     on_request = route.timeout_seconds - waited.on_request
     assured = on_request
     if not is_first_try and waited.on_request == waited.on_flow:
         assured -= OPENING_SECONDS + defaults.RETRY_PAUSE_SECONDS
-    if waited.on_request >= 2 * OPENING_SECONDS:
-        # A caller tries three times.
-        assured = min(assured, on_flow)
     return CallerWait(
         round(waited.on_request * _MILLISECONDS),
-        round(min(on_flow, on_request) * _MILLISECONDS),
+        round(on_request * _MILLISECONDS),
         round(assured * _MILLISECONDS),
     )
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -52,14 +52,19 @@
 
     Agents that owe an answer come last.  Among the others the one with the
     least expected load wins, and one in another availability zone only when
-    the load here exceeds its own by REMOTE_LOAD.
+    the load here exceeds its own by REMOTE_LOAD.  Without any, upstreams
+    that still speak though their entry went are taken: all entries lapse
+    while the store is away, and come back.
     """
     service = choose_service(route, key)
-    members = [
+    others = [
         view
         for view in state.by_service.get(service, ())
-        if view.host not in excluded and view.is_open()
+        if view.host not in excluded
     ]
+    members = [view for view in others if view.is_open()]
+    if not members:
+        members = [view for view in others if view.may_return(now)]
     answering = [view for view in members if not view.is_quiet(now)]
     candidates = answering or members
     if not candidates:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -163,8 +163,14 @@
 
 
 def _refuse(state: PacketState, opening: Opening) -> Effects:
-    """Reset a new flow that nobody takes; it has not run."""
+    """Reset a new flow that nobody takes; it has not run.
+
+    While programs return after an outage the first upstream may be a moment
+    away; three tries of a caller are over within half a second.
+    """
     key = opening.key
+    if not opening.hop and state.is_settling(opening.now):
+        return park(state, key, opening.datagram, opening.now)
     state.searches.pop(key, None)
     state.owners.forget(key)
     state.ages.note_reset(key, opening.now)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -108,6 +108,16 @@
             and not self.report.closed
         )
 
+    def may_return(self, now: float) -> bool:
+        """Return whether it lives although its entry is missing."""
+        since = self.gone_since
+        return (
+            since is not None
+            and now - since < defaults.GONE_SECONDS
+            and self.last_heard > since
+            and not self.report.closed
+        )
+
 
 class FormerRoute(NamedTuple):
     """A route that the operators dropped."""
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -13,7 +13,6 @@
 from zlib import crc32
 
 from keelgap.exceptions import KeelgapError
-from keelgap.packets.openings import OPENING_SECONDS
 
 __all__ = (
     'HEAD_LENGTH',
@@ -79,19 +78,14 @@
 
     #: Milliseconds since it first asked for its request, as far as is known.
     age_ms: int
-    #: Milliseconds until it gives this flow up, at the latest.
+    #: Milliseconds until it leaves, if this is its first try.
     patience_ms: int
-    #: Milliseconds for which it surely wants an answer; beyond its patience if
-    #: it can try again.
+    #: Milliseconds for which it surely stays, even if this is its second try.
     assured_ms: int
 
 
-#: Of a caller that sent its first packet just now.
-JUST_BEGUN: Final = CallerWait(
-    0,
-    round(OPENING_SECONDS * 1000),
-    round(OPENING_SECONDS * 1000),
-)
+#: Of a caller of whom nothing else is known; no request lasts longer.
+JUST_BEGUN: Final = CallerWait(0, _MOST, _MOST)
 
 
 class Envelope(NamedTuple):
