--- a/packages/keelgap/src/keelgap/catalog/defaults.py
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -30,8 +30,9 @@
 ENTRY_RETURN_SECONDS: Final = 2.5
 
 #: Before the first catalog nobody is served, so a first page that has not
-#: come for so long is asked for again on another connection; both calls wait.
-#: 50 answer times of the store.
+#: come for so long is asked for again on another connection; all calls wait.
+#: 50 answer times of the store.  Where more than READERS processes start, each
+#: waits longer: the first that is answered tells the others.
 FIRST_PAGE_SECONDS: Final = 0.2
 
 #: Longest pause after failed calls before the first catalog.
--- a/packages/keelgap/src/keelgap/catalog/follower.py
+++ b/packages/keelgap/src/keelgap/catalog/follower.py
@@ -87,8 +87,7 @@
 def _decide_reading(state: FollowerState, event: ReadingDecided) -> Effects:
     """Begin to read, or to follow; a call under way is still taken."""
     state.reads = event.reads
-    share = max(event.processes / defaults.READERS, 1)
-    state.longest_pause = defaults.RETRY_MAX_SECONDS * share
+    state.callers_share = max(event.processes / defaults.READERS, 1)
     if not event.reads or not state.is_idle:
         return ()
     state.is_idle = False
@@ -173,8 +172,7 @@
     """Return how long to pause at most; nobody is served without a catalog."""
     if state.complete:
         return state.longest_pause
-    share = state.longest_pause / defaults.RETRY_MAX_SECONDS
-    return defaults.FIRST_RETRY_MAX_SECONDS * share
+    return defaults.FIRST_RETRY_MAX_SECONDS * state.callers_share
 
 
 def _note_peer(state: FollowerState, event: PeerAhead) -> Effects:
@@ -198,7 +196,8 @@
     """
     reads_first_page = not state.complete and not state.reading_after
     waited = now - state.first_page_asked_at
-    if not reads_first_page or waited < defaults.FIRST_PAGE_SECONDS:
+    patience = defaults.FIRST_PAGE_SECONDS * state.callers_share
+    if not reads_first_page or waited < patience:
         return ()
     state.first_page_asked_at = now
     return (ReadFirstPageAgain(),)
--- a/packages/keelgap/src/keelgap/catalog/state.py
+++ b/packages/keelgap/src/keelgap/catalog/state.py
@@ -37,8 +37,9 @@
         #: When the pause after changes, in which more are gathered, is over.
         self.gathers_until = now
         self.failures = 0
-        #: Longest pause after a failure.
-        self.longest_pause = defaults.RETRY_MAX_SECONDS
+        #: Processes that may call the store, as a multiple of READERS; each
+        #: pauses longer by this factor, so that together they call as often.
+        self.callers_share: float = 1
         self.failing_since: float | None = None
         #: When the store answered last.
         self.answered_at = now
@@ -51,6 +52,11 @@
         #: When a peer was first heard to hold more than this process.
         self.behind_since = now
 
+    @property
+    def longest_pause(self) -> float:
+        """Return the longest pause after a failure, in seconds."""
+        return defaults.RETRY_MAX_SECONDS * self.callers_share
+
     @property
     def reaches_store(self) -> bool:
         """Return whether the last call was answered."""
--- a/tests/keelgap/test_follower.py
+++ b/tests/keelgap/test_follower.py
@@ -158,6 +158,15 @@
         self.read_all(3 * pause, 5, 'a')
         self.assertEqual(self.take(TimerFired(9)), ())
 
+    def test_many_processes_ask_a_silent_store_as_often_as_few(self) -> None:
+        """The first that is answered tells the others."""
+        processes = 4 * defaults.READERS
+        self.take(ReadingDecided(0, reads=True, processes=processes))
+        pause = 4 * defaults.FIRST_PAGE_SECONDS
+        self.assertEqual(self.take(TimerFired(pause * 0.9)), ())
+        again = (ReadFirstPageAgain(),)
+        self.assertEqual(self.take(TimerFired(pause)), again)
+
     def test_pauses_are_short_until_there_is_a_catalog(self) -> None:
         """Nobody is served before; many processes still call seldom."""
         pauses = []
