--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -129,7 +129,7 @@
 #: A planned stop ends when no caller's packet came for so long.
 DRAINED_SECONDS: Final = 0.7
 
-#: Flows of which a packet is kept until the first catalog comes: two seconds
+#: Flows of which a packet is kept until a catalog comes: two seconds
 #: of new flows of one node at the size to design for are 200; the rest is for
 #: a flood.  Of 1.3 KB each this is 6 MB.
 MAX_PARKED: Final = 5000
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/parking.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/parking.py
@@ -1,4 +1,4 @@
-"""Packets that came before the first catalog.
+"""Packets that came before the first catalog, or before the first upstream.
 
 After a power failure of everything the store may stay silent for a while,
 and callers repeat an opening packet only twice.  Without its packet a caller
@@ -20,14 +20,14 @@
     datagram: bytes,
     now: float,
 ) -> tuple[Decided, ...]:
-    """Keep the latest packet of a flow until there is a catalog."""
+    """Keep the latest packet of a flow until the catalog changes."""
     if key not in state.parked and len(state.parked) >= defaults.MAX_PARKED:
-        return (Decided('drop_no_catalog'),)
+        return (Decided('parking_full'),)
     state.parked[key] = datagram
     if _is_opening(state, datagram):
         # Its age counts from now on, not from when it is routed.
         state.ages.note_opening(key, state.format.copies(datagram), now)
-    return (Decided('parked_without_catalog'),)
+    return (Decided('parked'),)
 
 
 def take_parked(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -111,12 +111,11 @@
     def may_return(self, now: float) -> bool:
         """Return whether it lives although its entry is missing."""
         since = self.gone_since
-        return (
-            since is not None
-            and now - since < defaults.GONE_SECONDS
-            and self.last_heard > since
-            and not self.report.closed
-        )
+        if since is None or now - since >= defaults.GONE_SECONDS:
+            return False
+        # One that drained has left.
+        is_leaving = self.upstream.state != 'active' or self.report.closed
+        return self.last_heard > since and not is_leaving
 
 
 class FormerRoute(NamedTuple):
--- a/tests/packets/test_after_outage.py
+++ b/tests/packets/test_after_outage.py
@@ -26,6 +26,7 @@
     SYN,
     make_catalog,
     make_packet,
+    make_upstream,
 )
 from tests.packets.test_agent import (
     FLOW,
@@ -302,6 +303,18 @@
         (offer,) = self.send(SYN)
         self.assertEqual(offer.host, '10.0.0.2')
 
+    def test_upstream_that_drained_gets_nothing_more(self) -> None:
+        """Its entry went because it left, although its agent speaks."""
+        draining = make_upstream(2, state='draining')
+        self.change(make_catalog(2, [draining, self.proof]))
+        self.change(make_catalog(3, [self.proof]))
+        self.now += defaults.SETTLING_SECONDS
+        self.change(make_catalog(4, [draining, self.proof]))
+        self.change(make_catalog(5, [self.proof]))
+        self.now += 0.1
+        self.report('10.0.0.2')
+        self.assertIsInstance(self.send(SYN)[0], SendReset)
+
     def test_upstreams_that_stay_away_are_gone(self) -> None:
         """And the caller hears at once."""
         self.lapse()
