--- a/experiments/outage/patterns.py
+++ b/experiments/outage/patterns.py
@@ -36,6 +36,10 @@
     'late_agents': _SMALL._replace(late_agents=0.43, load=0.35),
     # 1.7 times the load for two seconds, without an outage.
     'burst': _SMALL._replace(dark_at=None, burst=(1.7, 3, 5)),
+    # More for two seconds than can be done; the queue drains slowly.
+    'burst_beyond_capacity': _SMALL._replace(
+        dark_at=None, load=0.9, burst=(1.7, 3, 5)
+    ),
     # Two of seven upstreams take five times as long.
     'slow_upstreams': _SMALL._replace(dark_at=None, slow=(0.28, 5)),
     # Each upstream is replaced in turn, every 0.8 s.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -89,7 +89,8 @@
 
         An answer takes ``answer`` seconds.  Callers from an outage come
         first when they are about to leave.  Then come those that can be
-        answered in time, by priority, and those that cannot.
+        answered in time, by priority, and the late ones who leave first.
+        Who would leave before the answer comes last.
         """
         start = now + answer
         if self.is_from_outage:
@@ -97,7 +98,9 @@
             due = self.assured if now < self.assured else self.leaves
             if 0 < due - start < defaults.RESCUE_SECONDS:
                 return 2, 0, -due
-        return int(start < self.in_time), -self.priority, self.in_time
+        if start < self.in_time:
+            return 1, -self.priority, self.in_time
+        return -int(start >= self.leaves), -self.priority, -self.leaves
 
 
 class Balancers:
--- a/tests/packets/test_after_outage.py
+++ b/tests/packets/test_after_outage.py
@@ -237,12 +237,33 @@
         self.ask(50, CallerWait(0, 2500, 2500), left_ms=5000)
         self.assertEqual(self.passed(self.serve(0, data=b'a')), [50])
 
+    def test_late_callers_go_by_who_leaves_first(self) -> None:
+        """Who would leave before the answer comes last.
+
+        Found in the model on drawn deployments without an outage: latest
+        first left one caller in ten of a burst without any answer.
+        """
+        for port in range(60, 64):
+            self.now += agent_defaults.OUTAGE_SECONDS / 2
+            self.ask(port, CallerWait(0, 100, 100))
+        self.now += 0.15
+        self.state.answer_seconds = 0.2
+        self.ask(51, CallerWait(900, 1600, 1600), left_ms=-700)
+        self.ask(52, CallerWait(1200, 1300, 1300), left_ms=-1000)
+        self.ask(53, CallerWait(2400, 100, 100), left_ms=-2200)
+        order = []
+        for port in range(3):
+            ends = make_packet(FLOW._replace(port=port), FIN | ACK)
+            passed = self.passed(self.hear(EnvelopeKind.FORWARD, ends))
+            order.extend(one for one in passed if one > ROOM)
+        self.assertEqual(order, [52, 51, 53])
+
     def test_caller_who_stayed_longer_than_assured_is_at_its_first_try(
         self,
     ) -> None:
         """Else it would have left, and said so."""
         self.ask(51, CallerWait(0, 1500, 100), left_ms=-400)
-        self.ask(50, CallerWait(0, 2500, 2500))
+        self.ask(50, CallerWait(0, 2500, 2500), left_ms=2000)
         self.now += 0.15
         self.assertEqual(self.passed(self.serve(0, data=b'a')), [50])
         self.now += 1.1
--- a/tests/packets/test_load_patterns.py
+++ b/tests/packets/test_load_patterns.py
@@ -93,6 +93,19 @@
                 self.assertEqual(outcome.answered, 1)
                 self.assertGreater(outcome.in_time, 0.985)
 
+    def test_burst_beyond_capacity(self) -> None:
+        """1.5 times what upstreams can do for two seconds, then 0.9.
+
+        Before: 0.932 and 0.920 answered, 0.640 and 0.632 in time, 223 and 473
+        resets after tours of up to 13 agents.
+        """
+        for seed in SEEDS:
+            outcome = play('burst_beyond_capacity', seed)
+            with self.subTest(seed):
+                self.assertGreater(outcome.answered, 0.94)
+                self.assertGreater(outcome.in_time, 0.74)
+                self.assertEqual(outcome.resets, 0)
+
     def test_slow_upstreams(self) -> None:
         """Two of seven take five times as long.  Before: 0.986 in time."""
         for seed in SEEDS:
@@ -112,13 +125,15 @@
     def test_lasting_overload(self) -> None:
         """1.3 times what upstreams can do, without an end.
 
-        Before: 0.442 and 0.434 in time, 2,500 and 3,300 resets after tours of
-        up to 13 agents.  Who comes new goes first, so that most are in time.
+        Before: 0.847 and 0.821 answered, 0.442 and 0.434 in time, 2,500 and
+        3,300 resets after tours of up to 13 agents.  Who comes new goes
+        first, so that most are in time.
         """
         for seed in SEEDS:
             outcome = play('lasting_overload', seed)
             with self.subTest(seed):
-                self.assertGreater(outcome.in_time, 0.55)
+                self.assertGreater(outcome.answered, 0.85)
+                self.assertGreater(outcome.in_time, 0.57)
                 self.assertEqual(outcome.resets, 0)
 
 
