--- a/experiments/outage/world.py
+++ b/experiments/outage/world.py
@@ -1,15 +1,13 @@
 """Balancers and agents with real reducers between modelled ends."""
 
-import heapq
 from collections import Counter
-from collections.abc import Callable
 from functools import partial
-from itertools import count
 from random import Random
 from typing import Any, Final, NamedTuple
 from zlib import crc32
 
 from experiments.outage.callers import CallerPorts
+from experiments.outage.clock import VirtualClock
 from experiments.outage.population import Population
 from experiments.outage.scenario import Scenario
 from experiments.outage.upstreams import COLD_SECONDS, Upstream
@@ -47,12 +45,6 @@
 _RELEASE_GAP: Final = 0.8
 
 
-class _Call(NamedTuple):
-    when: float
-    number: int
-    act: Callable[[], None]
-
-
 class _Agent(NamedTuple):
     """One start of an agent and the upstream beside it."""
 
@@ -68,9 +60,8 @@
         """Prepare all programs at time 0."""
         self.scenario = scenario
         self.random = Random(seed)
-        self.now: float = 0
-        self.calls: list[_Call] = []
-        self.numbers = count()
+        self.clock = VirtualClock()
+        self.later = self.clock.later
         self.revision = 1
         self.balancers: dict[str, PacketState] = {}
         self.agents: dict[str, _Agent] = {}
@@ -108,15 +99,12 @@
         if scenario.release_at is not None:
             self._plan_release(scenario.release_at)
         longest = max(kind.timeout for kind in scenario.kinds)
-        end = scenario.seconds + longest
-        while self.calls and self.calls[0].when <= end:
-            call = heapq.heappop(self.calls)
-            self.now = call.when
-            call.act()
-
-    def later(self, when: float, act: Callable[[], None]) -> None:
-        """Call at a time."""
-        heapq.heappush(self.calls, _Call(when, next(self.numbers), act))
+        self.clock.run(scenario.seconds + longest)
+
+    @property
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self.clock.now
 
     # What happens to the programs.
 
