--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -110,6 +110,7 @@
             self.adapter.DECODERS,
             self._change_catalog,
             self._note_store,
+            process.counters.count,
         )
         self.gossip = GossipDriver(
             process,
--- a/packages/keelgap-standins/src/keelgap_standins/packet_store.py
+++ b/packages/keelgap-standins/src/keelgap_standins/packet_store.py
@@ -4,6 +4,7 @@
 import sys
 import threading
 from base64 import b64encode
+from collections.abc import Iterator
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Final
@@ -13,6 +14,9 @@
 
 __all__ = ('PacketStore',)
 
+#: Entries and octets of a page.
+_PAGE_ITEMS: Final = 500
+_PAGE_OCTETS: Final = 1048576
 _OK: Final = 200
 _GONE: Final = 410
 _UNAVAILABLE: Final = 503
@@ -53,8 +57,12 @@
         self.server.server_close()
 
     def put(self, key: str, document: Any) -> None:
-        """Write an entry."""
-        content = b64encode(json.dumps(document).encode()).decode()
+        """Write a document."""
+        self.put_octets(key, json.dumps(document).encode())
+
+    def put_octets(self, key: str, octets: bytes) -> None:
+        """Write an entry, whatever it holds."""
+        content = b64encode(octets).decode()
         with self.changed:
             self.revision += 1
             item = {'Key': key, 'Value': content, 'Revision': self.revision}
@@ -77,7 +85,7 @@
         if self.refuses:
             return _UNAVAILABLE, {}
         if path == '/-/kv-range':
-            return _OK, self._list_entries()
+            return _OK, self._list_entries(query.get('after', [''])[0])
         if path != '/-/kv-watch':
             return _NOT_FOUND, {}
         if self.forgets:
@@ -86,10 +94,15 @@
         wait_ms = int(query['WaitMs'][0])
         return _OK, self._wait(int(query['after'][0]), wait_ms / 1000)
 
-    def _list_entries(self) -> dict[str, Any]:
+    def _list_entries(self, after: str) -> dict[str, Any]:
+        """Return a page of entries behind a key."""
         with self.changed:
-            items = sorted(self.entries.values(), key=lambda one: one['Key'])
-            return {'items': items, 'HasMore': False, 'AsOf': self.revision}
+            later = [one for one in self.entries.values() if one['Key'] > after]
+            later.sort(key=lambda one: one['Key'])
+            items = list(_take_page(later))
+            has_more = len(items) < len(later)
+            revision = self.revision
+            return {'items': items, 'HasMore': has_more, 'AsOf': revision}
 
     def _wait(self, after: int, seconds: float) -> dict[str, Any]:
         with self.changed:
@@ -98,6 +111,16 @@
             return {'events': events, 'AsOf': self.revision}
 
 
+def _take_page(items: list[dict[str, Any]]) -> Iterator[dict[str, Any]]:
+    """Yield as many entries as fit into a page."""
+    octets = 0
+    for item in items[:_PAGE_ITEMS]:
+        octets += len(item['Value'])
+        if octets > _PAGE_OCTETS:
+            return
+        yield item
+
+
 class _Server(ThreadingHTTPServer):
     """Is quiet on callers that reset their connections."""
 
--- a/packages/keelgap/src/keelgap/catalog/builder.py
+++ b/packages/keelgap/src/keelgap/catalog/builder.py
@@ -1,8 +1,18 @@
-"""Turn the store's entries into a catalog, entry by changed entry."""
+"""Turn the store's entries into a catalog, entry by changed entry.
+
+An entry that cannot be read is as good as absent: it names no upstream, and
+what stood under its key before counts no more.  Only routes stay in force
+until later ones can be read, since without routes nobody is served.
+"""
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from keelgap.catalog.exceptions import (
+    EntryRefused,
+    StaleStart,
+    UnknownService,
+)
 from keelgap.catalog.models import (
     NO_CATALOG,
     Catalog,
@@ -10,13 +20,13 @@
     PacketUpstream,
     RouteSet,
 )
-from keelgap.exceptions import KeelgapError
+from keelgap.catalog.starts import UpstreamTable
 
-__all__ = ('CatalogBuilder', 'Decoders')
+__all__ = ('CatalogBuilder', 'Decoders', 'EntryFault')
 
 
 class Decoders(NamedTuple):
-    """How a platform's entries are read; they raise KeelgapError."""
+    """How a platform's entries are read; they raise EntryRefused."""
 
     #: Key of the entry with the operators' routes.
     routes_key: str
@@ -24,20 +34,36 @@
     upstream_prefix: str
     decode_routes: Callable[[Entry], RouteSet]
     decode_upstream: Callable[[str, Entry], PacketUpstream]
+    #: What the keys begin with that take an availability zone out of service.
+    evacuation_prefix: str
+    decode_evacuation: Callable[[str, Entry], str]
+
+
+class EntryFault(NamedTuple):
+    """An entry that counts as absent, and why."""
+
+    key: str
+    error: EntryRefused
 
 
 class CatalogBuilder:
-    """Keep a catalog in step with entries; faulty ones change nothing."""
+    """Keep a catalog in step with entries."""
 
     def __init__(
         self,
         decoders: Decoders,
-        on_fault: Callable[[str, KeelgapError], None],
+        on_faults: Callable[[tuple[EntryFault, ...]], None],
     ) -> None:
-        """Report an entry that cannot be read to on_fault."""
+        """Report the entries of a change that are refused to on_faults."""
         self.decoders = decoders
-        self.on_fault = on_fault
+        self.on_faults = on_faults
         self.catalog = NO_CATALOG
+        #: Upstreams of unknown services included.
+        self.upstreams = UpstreamTable()
+        #: Zones out of service, and since which revision.
+        self.evacuated: dict[str, int] = {}
+        #: Ids of upstreams whose service is unknown.
+        self.strangers: frozenset[str] = frozenset()
 
     def update(
         self,
@@ -47,18 +73,30 @@
         latest_change: int,
     ) -> Catalog:
         """Return the catalog after some keys changed."""
+        faults: list[EntryFault] = []
         routes = self.catalog.routes
-        upstreams = dict(self.catalog.upstreams)
+        decoders = self.decoders
         for key in keys:
             entry = entries.get(key)
             try:
-                if key == self.decoders.routes_key:
+                if key == decoders.routes_key:
                     routes = self._update_routes(routes, entry)
-                elif key.startswith(self.decoders.upstream_prefix):
-                    self._update_upstream(upstreams, key, entry)
-            except KeelgapError as error:
-                self.on_fault(key, error)
-        self.catalog = Catalog(revision, routes, upstreams, latest_change)
+                elif key.startswith(decoders.upstream_prefix):
+                    self._update_upstream(key, entry)
+                elif key.startswith(decoders.evacuation_prefix):
+                    self._update_evacuation(key, entry)
+            except EntryRefused as error:
+                faults.append(EntryFault(key, error))
+        known = self._select_known(routes, faults)
+        self.catalog = Catalog(
+            revision,
+            routes,
+            known,
+            latest_change,
+            dict(self.evacuated),
+        )
+        if faults:
+            self.on_faults(tuple(faults))
         return self.catalog
 
     def _update_routes(
@@ -72,14 +110,52 @@
         later = self.decoders.decode_routes(entry)
         return later if later.version > routes.version else routes
 
-    def _update_upstream(
-        self,
-        upstreams: dict[str, PacketUpstream],
-        key: str,
-        entry: Entry | None,
-    ) -> None:
+    def _update_upstream(self, key: str, entry: Entry | None) -> None:
         upstream_id = key.removeprefix(self.decoders.upstream_prefix)
         if entry is None:
-            upstreams.pop(upstream_id, None)
+            self.upstreams.remove(upstream_id)
             return
-        upstreams[upstream_id] = self.decoders.decode_upstream(key, entry)
+        try:
+            self.upstreams.put(self.decoders.decode_upstream(key, entry))
+        except StaleStart:
+            # The later start is in force.
+            raise
+        except EntryRefused:
+            self.upstreams.remove(upstream_id)
+            raise
+
+    def _update_evacuation(self, key: str, entry: Entry | None) -> None:
+        if entry is None:
+            zone = key.removeprefix(self.decoders.evacuation_prefix)
+            self.evacuated.pop(zone, None)
+            return
+        zone = self.decoders.decode_evacuation(key, entry)
+        # Written again, it is still the same evacuation.
+        self.evacuated.setdefault(zone, entry.revision)
+
+    def _select_known(
+        self,
+        routes: RouteSet,
+        faults: list[EntryFault],
+    ) -> dict[str, PacketUpstream]:
+        """Return the upstreams whose service the operators' table has.
+
+        Others come into force with the table that names their service.
+        """
+        rows = self.upstreams.rows
+        services = routes.services
+        if not services:
+            return dict(rows)
+        known = {
+            upstream_id: upstream
+            for upstream_id, upstream in rows.items()
+            if upstream.service in services
+        }
+        strangers = frozenset(rows.keys() - known.keys())
+        prefix = self.decoders.upstream_prefix
+        faults.extend(
+            EntryFault(f'{prefix}{upstream_id}', UnknownService())
+            for upstream_id in sorted(strangers - self.strangers)
+        )
+        self.strangers = strangers
+        return known
--- a/packages/keelgap/src/keelgap/catalog/documents.py
+++ b/packages/keelgap/src/keelgap/catalog/documents.py
@@ -39,6 +39,8 @@
     KeyError,
     TypeError,
     AttributeError,
+    OverflowError,
+    RecursionError,
     zlib.error,
 )
 
--- a/packages/keelgap/src/keelgap/catalog/driver.py
+++ b/packages/keelgap/src/keelgap/catalog/driver.py
@@ -5,7 +5,7 @@
 from typing import Any, Final, Protocol
 
 from keelgap.addresses import Address
-from keelgap.catalog.builder import CatalogBuilder, Decoders
+from keelgap.catalog.builder import CatalogBuilder, Decoders, EntryFault
 from keelgap.catalog.documents import (
     CONTENT_TYPE,
     MalformedCatalog,
@@ -32,9 +32,8 @@
 from keelgap.catalog.follower import reduce, start
 from keelgap.catalog.models import Catalog
 from keelgap.catalog.state import FollowerState
-from keelgap.exceptions import KeelgapError
 from keelgap.runtime.http import HttpAnswer, HttpClient
-from keelgap.runtime.lines import LogLines
+from keelgap.runtime.lines import MAX_NAMED, LogLines
 from keelgap.runtime.loop import EventLoop
 from keelgap.runtime.pages import Page
 
@@ -70,19 +69,21 @@
         decoders: Decoders,
         on_catalog: Callable[[Catalog], None],
         on_answer: Callable[[], None],
+        count: Callable[[str], None],
     ) -> None:
         """Hand each catalog that comes into force to on_catalog.
 
         Call on_answer when the store answered without news, and when it was
-        lost.
+        lost; count refused entries by reason.
         """
+        self.count = count
         self.loop = loop
         self.lines = lines
         self.on_catalog = on_catalog
         self.on_answer = on_answer
         #: Calls planned so far; a call planned later replaces a delayed one.
         self.planned = 0
-        self.builder = CatalogBuilder(decoders, self._report_fault)
+        self.builder = CatalogBuilder(decoders, self._report_faults)
         self.state = FollowerState(loop.clock())
         self.store: StoreReader
         self.peer_client: HttpClient | None = None
@@ -237,10 +238,21 @@
             revision=self.state.revision,
         )
 
-    def _report_fault(self, key: str, error: KeelgapError) -> None:
+    def _report_faults(self, faults: tuple[EntryFault, ...]) -> None:
+        """Count every fault, and log one line a change.
+
+        Whoever writes entries that cannot be read writes many of them, and
+        the lines of decisions on flows must not be dropped for that.
+        """
+        for fault in faults:
+            reason = fault.error.reason
+            self.count(f'entry_refused_{reason}')
+        named = faults[:MAX_NAMED]
         self.lines.decide(
-            'entry_refused',
-            key=key,
-            code=error.code,
-            error=str(error),
+            'entries_refused',
+            count=len(faults),
+            keys=[one.key for one in named],
+            reasons=[one.error.reason for one in named],
+            errors=[str(one.error) for one in named],
+            revision=self.state.revision,
         )
--- a/packages/keelgap/src/keelgap/catalog/events.py
+++ b/packages/keelgap/src/keelgap/catalog/events.py
@@ -61,6 +61,9 @@
     now: float
     #: Short name of the cause for logs and metrics.
     reason: str
+    #: Whether there was an answer that cannot be read; asked the same again,
+    #: the store would answer the same.
+    is_unreadable: bool = False
 
 
 class CatchUpWanted(NamedTuple):
--- /dev/null
+++ b/packages/keelgap/src/keelgap/catalog/exceptions.py
@@ -0,0 +1,28 @@
+"""Why an entry of the store counts as absent."""
+
+from keelgap.exceptions import KeelgapError
+
+__all__ = ('EntryRefused', 'StaleStart', 'UnknownService')
+
+
+class EntryRefused(KeelgapError):
+    """An entry that names nothing to use."""
+
+    code = 'entry_refused'
+
+    @property
+    def reason(self) -> str:
+        """Return the cause for metrics; there are few different ones."""
+        return self.code
+
+
+class StaleStart(EntryRefused):
+    """A report of an upstream's former start."""
+
+    code = 'stale_start'
+
+
+class UnknownService(EntryRefused):
+    """An upstream of a service that the operators' table does not have."""
+
+    code = 'unknown_service'
--- a/packages/keelgap/src/keelgap/catalog/follower.py
+++ b/packages/keelgap/src/keelgap/catalog/follower.py
@@ -157,7 +157,7 @@
     )
     state.first_page_asked_at = event.now + pause
     state.failures = min(state.failures + 1, _MAX_DOUBLINGS)
-    if state.reading_after is None:
+    if state.reading_after is None and not event.is_unreadable:
         return (
             *lost,
             WatchChanges(pause, state.revision, defaults.PROBE_SECONDS),
--- a/packages/keelgap/src/keelgap/catalog/models.py
+++ b/packages/keelgap/src/keelgap/catalog/models.py
@@ -1,5 +1,7 @@
 """Routes and upstreams as packet balancers work with them."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, Literal, NamedTuple
 
 from keelgap.addresses import Address
@@ -11,7 +13,9 @@
     'PacketRoute',
     'PacketUpstream',
     'RouteSet',
+    'ServiceLimits',
     'Share',
+    'UpstreamIdentity',
 )
 
 
@@ -46,6 +50,14 @@
     timeout_seconds: float = 30.0
 
 
+class ServiceLimits(NamedTuple):
+    """What the operators' table says of the upstreams of one service."""
+
+    #: New flows a second that an upstream bears until it is warm; 0 if the
+    #: table states no bound.
+    cold_per_second: float = 0
+
+
 class RouteSet(NamedTuple):
     """All routes of one version of the operators' table."""
 
@@ -53,10 +65,21 @@
     routes: tuple[PacketRoute, ...]
     #: Seconds without a packet after which a flow may be forgotten.
     idle_seconds: float
+    #: The services that there are, by name.
+    services: Mapping[str, ServiceLimits] = MappingProxyType({})
+
+
+class UpstreamIdentity(NamedTuple):
+    """One start of one upstream: another start holds none of its flows."""
+
+    upstream_id: str
+    #: Unix milliseconds of the start; 0 where the platform gives none and
+    #: each start has an id of its own.
+    started: int
 
 
 class PacketUpstream(NamedTuple):
-    """One start of an upstream instance; another start has another id."""
+    """One start of an upstream instance, as it reports itself."""
 
     upstream_id: str
     service: str
@@ -70,6 +93,15 @@
     warm_up_seconds: float
     #: Revision of the store at which its entry was written last.
     revision: int = 0
+    #: Unix milliseconds of its start; 0 if its id stands for one start.
+    started: int = 0
+    #: Reports that this start has made.
+    reports: int = 0
+
+    @property
+    def identity(self) -> UpstreamIdentity:
+        """Return what tells this start from all others."""
+        return UpstreamIdentity(self.upstream_id, self.started)
 
 
 class Catalog(NamedTuple):
@@ -81,6 +113,9 @@
     upstreams: dict[str, PacketUpstream]
     #: Revision of the store at the latest change that is in here.
     latest_change: int = 0
+    #: Availability zones that take no new flows, and the revision of the
+    #: store at which the operators asked for it.
+    evacuated: Mapping[str, int] = MappingProxyType({})
 
 
 #: What a process has before it heard of anything.
