--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -26,7 +26,8 @@
     Observed,
 )
 from keelgap_agent.packets.events import EnvelopeArrived
-from keelgap_agent.packets.registration import ask_for_notice, register
+from keelgap_agent.packets.notices import ask_for_notice
+from keelgap_agent.packets.registration import register
 from keelgap_agent.packets.request_log import note_request
 from keelgap_agent.packets.state import AgentState, Flow, Held
 
@@ -55,6 +56,11 @@
         state.slots = envelope.slots
     if state.stopping_since is not None:
         return _give_back(state, event, 'miss_closed')
+    if state.is_evacuated:
+        # Whoever offers is behind, or was when it sent this.
+        return _give_back(state, event, 'miss_zone_left')
+    if state.cold.is_full(now):
+        return _give_back(state, event, 'miss_cold')
     if len(state.flows) >= defaults.MAX_FLOWS:
         return _give_back(state, event, 'miss_full')
     if len(state.held) >= state.slots * defaults.HELD_PER_SLOT:
@@ -62,6 +68,7 @@
     flow = Flow(now)
     state.flows[key] = flow
     state.held[key] = _make_held(state, event)
+    state.cold.note_passed(now)
     passed = state.pass_on(event.sender, envelope)
     told = (*register(state, key, flow, now), *ask_for_notice(state, event))
     return (*told, passed)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
@@ -1,10 +1,16 @@
 """Settings of the packet agent."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from keelgap.conf import InstanceSettings
 
-__all__ = ('AgentListenSettings', 'AgentPacketSettings', 'UpstreamSettings')
+__all__ = (
+    'NO_WARM_UP_SETTINGS',
+    'AgentListenSettings',
+    'AgentPacketSettings',
+    'UpstreamSettings',
+    'WarmUpSettings',
+)
 
 
 class AgentListenSettings(NamedTuple):
@@ -35,9 +41,25 @@
     adapter: str = 'keelgap_platform.adapter'
 
 
+class WarmUpSettings(NamedTuple):
+    """Section ``warm_up``: new flows of an upstream that is not warm yet.
+
+    In any second it gets at most ``excess`` times what the operators' table
+    says that it bears, and ``slack`` more.
+    """
+
+    excess: float = 1
+    slack: float = 0
+
+
+#: Where the settings file has no such section.
+NO_WARM_UP_SETTINGS: Final = WarmUpSettings()
+
+
 class AgentPacketSettings(NamedTuple):
     """All sections of a packet agent's settings file."""
 
     instance: InstanceSettings
     listen: AgentListenSettings
     upstream: UpstreamSettings
+    warm_up: WarmUpSettings = NO_WARM_UP_SETTINGS
--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -4,6 +4,7 @@
 
 __all__ = (
     'ANSWER_WEIGHT',
+    'COLD_WINDOW_SECONDS',
     'COUNT_SECONDS',
     'COVERED_SECONDS',
     'ENDED_SECONDS',
@@ -46,6 +47,11 @@
 #: Weight of the latest answer in the mean time to an answer.
 ANSWER_WEIGHT: Final = 0.2
 
+#: Span in which new flows of a cold upstream are counted.  The operators'
+#: bound is on any second; a tenth more is for packets that overtake others
+#: between this process and its upstream.
+COLD_WINDOW_SECONDS: Final = 1.1
+
 #: Pause between sweeps of the flow table.
 SWEEP_SECONDS: Final = 1.0
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -36,11 +36,11 @@
     TimerFired,
     UpstreamPacket,
 )
+from keelgap_agent.packets.notices import take_notice
 from keelgap_agent.packets.registration import (
     keep_registered,
     register,
     resync,
-    take_notice,
 )
 from keelgap_agent.packets.request_log import (
     note_request,
@@ -84,8 +84,9 @@
 
 
 def _answer_ask(state: AgentState, event: EnvelopeArrived) -> Effects:
-    """Report to this balancer once, and take what it says."""
-    return (_report(state, event.sender), *take_notice(state, event))
+    """Take what this balancer says, and report to it once."""
+    taken = take_notice(state, event)
+    return (_report(state, event.sender), *taken)
 
 
 def _report(state: AgentState, host: str) -> SendToPeer:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
@@ -11,44 +11,29 @@
     choose_nodes,
 )
 from keelgap.packets.directory_messages import (
-    DirectoryNotice,
     Registration,
     pack_registration,
     split_keys,
-    unpack_notice,
 )
 from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.notices import UpstreamNotice
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import AgentEffect, SendToPeer
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.state import AgentState, Flow, Stream
 
 __all__ = (
-    'ask_for_notice',
     'keep_registered',
+    'move',
+    'note_upstream',
     'register',
     'resync',
-    'take_notice',
 )
 
 Effects = tuple[AgentEffect, ...]
 
 
-def take_notice(state: AgentState, event: EnvelopeArrived) -> Effects:
-    """Take what a balancer says of the directory; raise MalformedEnvelope."""
-    state.registrar.is_greeted = True
-    if not event.envelope.content:
-        return ()
-    notice = unpack_notice(event.envelope.content)
-    _note_upstream(state, notice)
-    registrar = state.registrar
-    directory = notice.directory
-    if directory.revision < registrar.directory.revision:
-        return ()
-    return _move(state, directory, event.now)
-
-
-def _note_upstream(state: AgentState, notice: DirectoryNotice) -> None:
+def note_upstream(state: AgentState, notice: UpstreamNotice) -> None:
     """Find out whether this process has seen all flows of the upstream.
 
     It has if the upstream began after it, or with it: they share a machine,
@@ -67,7 +52,7 @@
         registrar.is_complete = True
 
 
-def _move(
+def move(
     state: AgentState,
     directory: FlowDirectory,
     now: float,
@@ -93,22 +78,6 @@
     return _begin_stream(state, event.sender, event.now)
 
 
-def ask_for_notice(state: AgentState, event: EnvelopeArrived) -> Effects:
-    """Ask who opens a flow for the directory, if nobody has told yet.
-
-    The next greeting may be a second away.  The answer takes one round trip
-    between processes, and the caller needs one to go on: so its flow is in
-    the directory when a packet of it reaches another balancer.
-    """
-    registrar = state.registrar
-    waited = event.now - registrar.asked_at
-    is_told = registrar.is_greeted or not registrar.own
-    if is_told or waited < defaults.LAG_SECONDS:
-        return ()
-    registrar.asked_at = event.now
-    return (state.send(event.sender, EnvelopeKind.ASK, b''),)
-
-
 def register(
     state: AgentState,
     key: bytes,
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -68,9 +68,12 @@
             settings.upstream.service,
             self.loop.clock(),
             settings.instance.address,
+            settings.warm_up,
         )
-        # Nobody passed flows to the upstream before.
+        # Otherwise another agent may have passed flows to the upstream.
         self.state.registrar.is_complete = settings.upstream.first_start
+        if not settings.upstream.first_start:
+            self.state.cold.note_other_agent()
         self.decisions = DecisionLog(process.lines, process.counters)
         self.upstream_socket = sockets.traffic
         self.peer_socket = sockets.peers
@@ -159,6 +162,7 @@
             'directory_flows': len(state.directory.holders),
             'directory_agents': len(state.directory.members),
             'directory_covered': len(state.directory.covered),
+            'zone_out_of_service': state.is_evacuated,
             'knows_all_flows': state.registrar.is_complete,
         }
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -15,6 +15,11 @@
 )
 from keelgap.packets.formats import PacketFormat
 from keelgap_agent.packets import defaults
+from keelgap_agent.packets.cold import ColdBound
+from keelgap_agent.packets.conf import (
+    NO_WARM_UP_SETTINGS,
+    WarmUpSettings,
+)
 from keelgap_agent.packets.directory_state import Directory
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import EnvelopeArrived
@@ -207,6 +212,7 @@
         service: str,
         now: float,
         own: str = '',
+        warm_up: WarmUpSettings = NO_WARM_UP_SETTINGS,
     ) -> None:
         """Start without flows; ``own`` is the host of this agent."""
         self.format = packet_format
@@ -217,6 +223,11 @@
         self.flows: dict[bytes, Flow] = {}
         self.registrar = Registrar(own, now)
         self.directory = Directory(now)
+        self.cold = ColdBound(warm_up.excess, warm_up.slack, now)
+        #: Whether the operators took the availability zone out of service.
+        self.is_evacuated = False
+        #: Revision of the catalog that says so, or that it is in service.
+        self.zone_revision = 0
         self.busy = 0
         #: New flows whose request waits for room or has not come, by key.
         self.held: dict[bytes, Held] = {}
@@ -258,7 +269,7 @@
             busy=self.busy + len(self.held),
             flows=len(self.flows),
             answer_ms=int(self.answer_seconds * _MILLISECONDS),
-            closed=self.stopping_since is not None,
+            closed=self.stopping_since is not None or self.is_evacuated,
         )
 
     def send(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -54,6 +54,7 @@
     'TIMER_SECONDS',
     'TRAVEL_SECONDS',
     'WARM_UP_SLOTS',
+    'YOUNG_REPORTS',
 )
 
 #: Period of the timer.
@@ -188,6 +189,10 @@
 #: share: such upstreams take about 1.6 times as long.
 WARM_UP_SLOTS: Final = 0.6
 
+#: Reports that an upstream makes in its first seconds, at most: one when it
+#: starts and one each 1.2 s while it is cold, for 2 s; twice as many.
+YOUNG_REPORTS: Final = 6
+
 #: Pause between messages to other balancers.
 GOSSIP_SECONDS: Final = 0.5
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
@@ -14,10 +14,8 @@
 )
 from keelgap.packets.directory_messages import (
     MAX_KEYS,
-    DirectoryNotice,
     Lookup,
     Question,
-    pack_notice,
     pack_question,
     unpack_coverage,
     unpack_lookup,
@@ -26,12 +24,12 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.events import EnvelopeArrived
+from keelgap_balancer.packets.notices import make_notice
 from keelgap_balancer.packets.state import AgentView, NodeView, PacketState
 
 __all__ = (
     'change_directories',
     'look_up',
-    'make_notice',
     'take_answer',
     'take_coverage',
     'tell_uncovered',
@@ -83,18 +81,6 @@
     )
 
 
-def make_notice(state: PacketState, view: AgentView, now: float) -> bytes:
-    """Return what an agent should know of its service's directory."""
-    directory = state.directories.get(view.upstream.service)
-    if directory is None:
-        return b''
-    upstream = view.upstream
-    is_young = now < view.warm_at
-    return pack_notice(
-        DirectoryNotice(directory, view.seed, upstream.revision, is_young),
-    )
-
-
 def look_up(state: PacketState, host: str, key: bytes, now: float) -> Effects:
     """Ask a node for a flow, together with others if it is busy."""
     node = state.nodes.setdefault(host, NodeView())
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
@@ -12,8 +12,8 @@
 
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap_balancer.packets import defaults
-from keelgap_balancer.packets.directories import make_notice
 from keelgap_balancer.packets.effects import PacketEffect
+from keelgap_balancer.packets.notices import make_notice
 from keelgap_balancer.packets.state import AgentView, PacketState
 
 __all__ = ('greet_agents',)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -1,10 +1,15 @@
 """Take later routes and upstreams into the balancer's state."""
 
-from keelgap.catalog.models import Catalog
+from keelgap.catalog.models import (
+    Catalog,
+    PacketUpstream,
+    UpstreamIdentity,
+)
 from keelgap.runtime.lines import MAX_NAMED
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.directories import change_directories
 from keelgap_balancer.packets.effects import Decided, PacketEffect
+from keelgap_balancer.packets.notices import tell_zones
 from keelgap_balancer.packets.state import AgentView, FormerRoute, PacketState
 
 __all__ = ('change_catalog', 'forget_former_routes', 'forget_gone')
@@ -20,6 +25,7 @@
     """Put a catalog in force; what went stays findable for a while."""
     if catalog.routes.version != state.catalog.routes.version:
         _change_routes(state, catalog, now)
+    before = state.catalog
     state.catalog = catalog
     state.confirmed_revision = max(state.confirmed_revision, catalog.revision)
     state.latest_change = max(state.latest_change, catalog.latest_change)
@@ -27,7 +33,34 @@
         state.informed_at = now
     effects = _change_upstreams(state, catalog, now)
     _index(state)
-    return (*effects, *change_directories(state, now))
+    return (
+        *effects,
+        *change_directories(state, now),
+        *_change_zones(state, before, now),
+    )
+
+
+def _change_zones(
+    state: PacketState,
+    before: Catalog,
+    now: float,
+) -> Effects:
+    """Tell agents and operators which availability zones take new flows."""
+    evacuated = state.catalog.evacuated
+    left = evacuated.keys() - before.evacuated.keys()
+    returned = before.evacuated.keys() - evacuated.keys()
+    if not left and not returned:
+        return ()
+    fields = {
+        'left': {zone: evacuated[zone] for zone in sorted(left)},
+        'returned': sorted(returned),
+        'out_of_service': sorted(evacuated),
+        'revision': state.catalog.revision,
+    }
+    return (
+        Decided('zones_changed', fields),
+        *tell_zones(state, frozenset(left | returned), now),
+    )
 
 
 def _change_routes(
@@ -56,21 +89,16 @@
     """Take the entries of a catalog; return lines on what changed."""
     changed: dict[str, list[str]] = {}
     for upstream_id, upstream in catalog.upstreams.items():
-        view = state.agents.get(upstream_id)
-        if view is None:
-            state.agents[upstream_id] = AgentView(upstream, now)
-            changed.setdefault('added', []).append(upstream_id)
-            continue
-        if view.upstream.state != upstream.state:
-            changed.setdefault(upstream.state, []).append(upstream_id)
-        view.upstream = upstream
-        view.gone_since = None
-        state.gone.discard(upstream_id)
-    for gone_id, view in state.agents.items():
-        if gone_id not in catalog.upstreams and view.gone_since is None:
-            view.gone_since = now
-            state.gone.add(gone_id)
-            changed.setdefault('gone', []).append(gone_id)
+        change = _take_report(state, upstream, now)
+        if change:
+            changed.setdefault(change, []).append(upstream_id)
+    listed = {one.identity for one in catalog.upstreams.values()}
+    for identity in tuple(state.agents.keys() - listed - state.gone):
+        change = _miss_entry(state, identity, catalog, now)
+        changed.setdefault(change, []).append(identity.upstream_id)
+    for returned in tuple(state.gone):
+        if returned.upstream_id in catalog.upstreams:
+            _end_start(state, returned, now)
     return tuple(
         line
         for change, ids in changed.items()
@@ -78,6 +106,52 @@
     )
 
 
+def _take_report(
+    state: PacketState,
+    upstream: PacketUpstream,
+    now: float,
+) -> str:
+    """Take what an upstream says; return what changed, if anything."""
+    identity = upstream.identity
+    view = state.agents.get(identity)
+    if view is None:
+        state.agents[identity] = AgentView(upstream, now)
+        return 'added'
+    before = view.upstream.state
+    view.change_upstream(upstream, now)
+    state.gone.discard(identity)
+    return '' if before == upstream.state else upstream.state
+
+
+def _miss_entry(
+    state: PacketState,
+    identity: UpstreamIdentity,
+    catalog: Catalog,
+    now: float,
+) -> str:
+    """Note that a start has no entry any more; return what became of it."""
+    if identity.upstream_id in catalog.upstreams:
+        _end_start(state, identity, now)
+        return 'restarted'
+    state.agents[identity].gone_since = now
+    state.gone.add(identity)
+    return 'gone'
+
+
+def _end_start(
+    state: PacketState,
+    identity: UpstreamIdentity,
+    now: float,
+) -> None:
+    """Forget a start whose upstream started again.
+
+    It cannot come back, so nobody waits for it.  That it holds no flow is for
+    the agents to say, whose upstreams answer or deny.
+    """
+    state.agents.pop(identity).end(now)
+    state.gone.discard(identity)
+
+
 def _tell_change(
     change: str,
     upstream_ids: list[str],
@@ -169,12 +243,12 @@
 def forget_gone(state: PacketState, now: float) -> None:
     """Forget upstreams whose entry has been missing for long enough."""
     over = [
-        upstream_id
-        for upstream_id in state.gone
-        if _is_over(state.agents[upstream_id], now)
+        identity
+        for identity in state.gone
+        if _is_over(state.agents[identity], now)
     ]
-    for upstream_id in over:
-        state.agents.pop(upstream_id)
-        state.gone.discard(upstream_id)
+    for identity in over:
+        state.agents.pop(identity)
+        state.gone.discard(identity)
     if over:
         _index(state)
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
@@ -0,0 +1,53 @@
+"""What agents are told of this balancer's catalog."""
+
+from typing import Final
+
+from keelgap.catalog.models import ServiceLimits
+from keelgap.packets.directory import NO_DIRECTORY
+from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.notices import UpstreamNotice, pack_notice
+from keelgap_balancer.packets.effects import PacketEffect
+from keelgap_balancer.packets.state import AgentView, PacketState
+
+__all__ = ('make_notice', 'tell_zones')
+
+Effects = tuple[PacketEffect, ...]
+_MILLISECONDS: Final = 1000
+_NO_LIMITS: Final = ServiceLimits()
+
+
+def make_notice(state: PacketState, view: AgentView, now: float) -> bytes:
+    """Return what an agent should know of its upstream and its service."""
+    upstream = view.upstream
+    directory = state.directories.get(upstream.service, NO_DIRECTORY)
+    services = state.catalog.routes.services
+    limits = services.get(upstream.service, _NO_LIMITS)
+    warm_up = max(view.warm_at - now, 0)
+    return pack_notice(
+        UpstreamNotice(
+            revision=state.catalog.revision,
+            shards=directory.shards,
+            upstream_tag=view.seed,
+            upstream_revision=upstream.revision,
+            is_young=now < view.young_until,
+            is_evacuated=state.is_evacuated(view),
+            warm_up_ms=round(warm_up * _MILLISECONDS),
+            cold_per_second=limits.cold_per_second,
+        ),
+    )
+
+
+def tell_zones(
+    state: PacketState,
+    zones: frozenset[str],
+    now: float,
+) -> Effects:
+    """Tell all agents of some availability zones at once.
+
+    They refuse what balancers offer that have not read of it yet.
+    """
+    return tuple(
+        view.send(EnvelopeKind.ASK, make_notice(state, view, now))
+        for view in state.by_host.values()
+        if view.upstream.availability_zone in zones
+    )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -11,7 +11,7 @@
     SendReset,
 )
 from keelgap_balancer.packets.parking import park
-from keelgap_balancer.packets.placement import choose_taker
+from keelgap_balancer.packets.placement import choose_service, choose_taker
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
 
 __all__ = ('Opening', 'open_flow', 'place_elsewhere')
@@ -47,7 +47,7 @@
         return SendReset(datagram), Decided('reset_unknown_route', fields)
     owner = state.owners.get(key)
     opening = Opening(key, route, datagram, now, 0)
-    if owner is not None and _keeps_choice(owner, now):
+    if owner is not None and _keeps_choice(state, owner, now):
         return _offer(state, owner, opening)
     if owner is None:
         return _place(state, opening, ())
@@ -58,9 +58,10 @@
     return _place(state, opening, silent)
 
 
-def _keeps_choice(owner: AgentView, now: float) -> bool:
+def _keeps_choice(state: PacketState, owner: AgentView, now: float) -> bool:
     """Return whether a copy of an opening packet goes the same way."""
-    return owner.gone_since is None and not owner.is_quiet(now)
+    is_there = owner.gone_since is None and not owner.is_quiet(now)
+    return is_there and not state.is_evacuated(owner)
 
 
 def _place(
@@ -81,10 +82,15 @@
     """Reset a new flow that nobody takes; it has not run.
 
     While programs return after an outage the first upstream may be a moment
-    away; three tries of a caller are over within half a second.
+    away; three tries of a caller are over within half a second.  Where all
+    upstreams are out of service there is nothing to wait for.
     """
     key = opening.key
-    if not opening.hop and state.is_settling(opening.now):
+    may_come = state.is_settling(opening.now) and not _is_all_evacuated(
+        state,
+        opening,
+    )
+    if not opening.hop and may_come:
         return park(state, key, opening.datagram, opening.now)
     state.searches.pop(key, None)
     state.owners.forget(key)
@@ -98,6 +104,13 @@
     return SendReset(opening.datagram), Decided('reset_no_taker', fields)
 
 
+def _is_all_evacuated(state: PacketState, opening: Opening) -> bool:
+    """Return whether a service has upstreams, all of them out of service."""
+    service = choose_service(opening.route, opening.key)
+    views = state.by_service.get(service, ())
+    return bool(views) and all(map(state.is_evacuated, views))
+
+
 def _offer(
     state: PacketState,
     taker: AgentView,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -50,7 +50,8 @@
 ) -> AgentView | None:
     """Return the agent that should take a new flow, or None.
 
-    Agents that owe an answer come last.  Among the others the one with the
+    None in an availability zone that is out of service.  Agents that owe an
+    answer come last.  Among the others the one with the
     least expected load wins, and one in another availability zone only when
     the load here exceeds its own by REMOTE_LOAD.  Without any, upstreams
     that still speak though their entry went are taken: all entries lapse
@@ -60,7 +61,7 @@
     others = [
         view
         for view in state.by_service.get(service, ())
-        if view.host not in excluded
+        if view.host not in excluded and not state.is_evacuated(view)
     ]
     members = [view for view in others if view.is_open()]
     if not members:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -11,7 +11,6 @@
 from keelgap.packets.exceptions import MalformedEnvelope
 from keelgap.packets.formats import FLOW_KEY_LENGTH, Flags
 from keelgap_balancer.packets import defaults
-from keelgap_balancer.packets.directories import make_notice
 from keelgap_balancer.packets.effects import (
     Decided,
     Observed,
@@ -32,6 +31,7 @@
     forget_former_routes,
     forget_gone,
 )
+from keelgap_balancer.packets.notices import make_notice
 from keelgap_balancer.packets.openings import (
     Opening,
     open_flow,
@@ -94,6 +94,8 @@
 
 def _is_lost(owner: AgentView, now: float) -> bool:
     """Return whether an owner went for good."""
+    if owner.has_ended:
+        return True
     since = owner.gone_since
     if since is None or now - since < defaults.GONE_SECONDS:
         return False
@@ -139,7 +141,7 @@
     event: EnvelopeArrived,
     view: AgentView,
 ) -> Effects:
-    """Tell an agent that has just begun where its directory is."""
+    """Tell an agent that has just begun what it cannot read itself."""
     notice = make_notice(state, view, event.now)
     return (view.send(EnvelopeKind.ASK, notice),)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -223,6 +223,8 @@
             'isolated': self.is_isolated,
             'routes': len(state.routes),
             'upstreams': len(views),
+            'zones_out_of_service': len(state.catalog.evacuated),
+            'upstreams_out_of_service': sum(map(state.is_evacuated, views)),
             'silent_agents': sum(view.is_quiet(now) for view in views),
             'known_flows': len(state.owners),
             'searches': len(state.searches),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterator
 from typing import Any, Final, NamedTuple
 
-from keelgap.catalog.models import NO_CATALOG, PacketRoute, PacketUpstream
+from keelgap.catalog.models import (
+    NO_CATALOG,
+    PacketRoute,
+    PacketUpstream,
+    UpstreamIdentity,
+)
 from keelgap.packets.directory import (
     FlowDirectory,
 )
@@ -37,10 +42,11 @@
 
 
 class AgentView:
-    """What this balancer knows of one upstream and the agent beside it."""
+    """What this balancer knows of one start of an upstream, and its agent."""
 
     __slots__ = (
         'gone_since',
+        'has_ended',
         'hello_at',
         'host',
         'last_heard',
@@ -52,6 +58,7 @@
         'upstream',
         'waiting_since',
         'warm_at',
+        'young_until',
     )
 
     def __init__(self, upstream: PacketUpstream, now: float) -> None:
@@ -59,7 +66,8 @@
         self.upstream = upstream
         self.host = upstream.address.host
         self.service_tag = compute_service_tag(upstream.service)
-        self.seed = compute_service_tag(upstream.upstream_id)
+        #: Stands for this start, in rankings and towards directories.
+        self.seed = compute_service_tag(':'.join(map(str, upstream.identity)))
         self.report = _NO_REPORT
         #: New flows sent there since its last report.
         self.picks = 0
@@ -70,8 +78,30 @@
         #: When it was told last of its directory because that lacked it.
         self.noticed_at = float('-inf')
         self.warm_at = now + upstream.warm_up_seconds
+        #: Until when it counts as just started.  One that gets cold later, in
+        #: an availability zone out of service, has made more reports.
+        self.young_until = float('-inf')
+        if upstream.reports <= defaults.YOUNG_REPORTS:
+            self.young_until = self.warm_at
         #: Since when its entry is missing from the catalog.
         self.gone_since: float | None = None
+        #: Whether a later start of the upstream took its place.
+        self.has_ended = False
+
+    def change_upstream(self, upstream: PacketUpstream, now: float) -> None:
+        """Take a report of the same start; one read again changes nothing.
+
+        An upstream may get cold after its start.
+        """
+        if upstream.revision != self.upstream.revision:
+            self.warm_at = now + upstream.warm_up_seconds
+        self.upstream = upstream
+        self.gone_since = None
+
+    def end(self, now: float) -> None:
+        """Note that a later start took the place: it holds no flow more."""
+        self.has_ended = True
+        self.gone_since = now
 
     def send(
         self,
@@ -245,15 +275,15 @@
         self.routes: dict[bytes, PacketRoute] = {}
         #: Routes that an earlier version had; their open flows go on.
         self.former_routes: dict[bytes, FormerRoute] = {}
-        #: By upstream id; those whose entry went stay for a while.
-        self.agents: dict[str, AgentView] = {}
+        #: Those whose entry went stay for a while.
+        self.agents: dict[UpstreamIdentity, AgentView] = {}
         #: By the agent's host; the latest upstream there.
         self.by_host: dict[str, AgentView] = {}
         self.by_service: dict[str, tuple[AgentView, ...]] = {}
         #: How many agents are in the own availability zone.
         self.near_agents = 0
-        #: Ids of those whose entry went.
-        self.gone: set[str] = set()
+        #: Those whose entry went.
+        self.gone: set[UpstreamIdentity] = set()
         #: Whom to greet next, where there are too many to greet at once.
         self.greeting: Iterator[AgentView] = iter(())
         #: Differs from balancer to balancer: none starts at the same moment.
@@ -293,6 +323,10 @@
         """Return whether an agent is in the own availability zone."""
         return view.upstream.availability_zone == self.availability_zone
 
+    def is_evacuated(self, view: AgentView) -> bool:
+        """Return whether the agent's availability zone takes no new flows."""
+        return view.upstream.availability_zone in self.catalog.evacuated
+
     def is_newly_informed(self, now: float) -> bool:
         """Return whether upstreams may live that this process never saw.
 
--- a/packages/keelgap/src/keelgap/packets/directory_messages.py
+++ b/packages/keelgap/src/keelgap/packets/directory_messages.py
@@ -5,26 +5,29 @@
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
-from keelgap.packets.directory import COPIES, FlowDirectory, digest_hosts
-from keelgap.packets.exceptions import MalformedEnvelope
+from keelgap.packets.directory import digest_hosts
 from keelgap.packets.formats import FLOW_KEY_LENGTH
+from keelgap.packets.octets import (
+    HOST_LENGTH,
+    pack_hosts,
+    split_octets,
+    unpack_head,
+    unpack_hosts,
+)
 
 __all__ = (
     'MAX_KEYS',
     'Coverage',
-    'DirectoryNotice',
     'Lookup',
     'Question',
     'Registration',
     'pack_coverage',
     'pack_lookup',
-    'pack_notice',
     'pack_question',
     'pack_registration',
     'split_keys',
     'unpack_coverage',
     'unpack_lookup',
-    'unpack_notice',
     'unpack_question',
     'unpack_registration',
 )
@@ -34,25 +37,11 @@
 #: Hosts in one datagram.
 MAX_HOSTS: Final = 280
 
-_HOST_LENGTH: Final = 4
-_NOBODY: Final = bytes(_HOST_LENGTH)
-_NOTICE: Final = struct.Struct('!QIQ?')
+_NOBODY: Final = bytes(HOST_LENGTH)
 _REGISTRATION: Final = struct.Struct('!IHIII?')
 _DIGEST: Final = struct.Struct('!Q')
 _COVERAGE: Final = struct.Struct('!QBB')
-_ROW_LENGTH: Final = FLOW_KEY_LENGTH + _HOST_LENGTH
-
-
-class DirectoryNotice(NamedTuple):
-    """What a balancer tells an agent of its directory and its upstream."""
-
-    directory: FlowDirectory
-    #: Stands for the id of the upstream beside the agent.
-    upstream_tag: int
-    #: Revision of that upstream's entry; the later of two notices counts.
-    upstream_revision: int
-    #: Whether the upstream started a moment ago.
-    is_young: bool
+_ROW_LENGTH: Final = FLOW_KEY_LENGTH + HOST_LENGTH
 
 
 class Registration(NamedTuple):
@@ -111,33 +100,6 @@
         yield every[start : start + MAX_KEYS]
 
 
-def pack_notice(notice: DirectoryNotice) -> bytes:
-    """Return the octets of a notice: its head, then hosts by shard."""
-    directory = notice.directory
-    head = _NOTICE.pack(
-        directory.revision,
-        notice.upstream_tag,
-        notice.upstream_revision,
-        notice.is_young,
-    )
-    hosts = [host for nodes in directory.shards for host in nodes]
-    return head + b''.join(map(socket.inet_aton, hosts))
-
-
-def unpack_notice(content: bytes) -> DirectoryNotice:
-    """Return a notice; raise MalformedEnvelope."""
-    head = _unpack_head(_NOTICE, content)
-    hosts = _unpack_hosts(content[_NOTICE.size :])
-    if len(hosts) % COPIES:
-        raise MalformedEnvelope(len(content))
-    shards = tuple(
-        hosts[start : start + COPIES] for start in range(0, len(hosts), COPIES)
-    )
-    revision, tag, upstream_revision, is_young = head
-    directory = FlowDirectory(revision, shards)
-    return DirectoryNotice(directory, tag, upstream_revision, bool(is_young))
-
-
 def pack_registration(registration: Registration) -> bytes:
     """Return the octets of a registration."""
     *head, keys = registration
@@ -146,8 +108,8 @@
 
 def unpack_registration(content: bytes) -> Registration:
     """Return a registration; raise MalformedEnvelope."""
-    head = _unpack_head(_REGISTRATION, content)
-    keys = _split_octets(content[_REGISTRATION.size :], FLOW_KEY_LENGTH)
+    head = unpack_head(_REGISTRATION, content)
+    keys = split_octets(content[_REGISTRATION.size :], FLOW_KEY_LENGTH)
     return Registration._make((*head, keys))
 
 
@@ -158,8 +120,8 @@
 
 def unpack_question(content: bytes) -> Question:
     """Return a question; raise MalformedEnvelope."""
-    digest = _unpack_head(_DIGEST, content)[0]
-    keys = _split_octets(content[_DIGEST.size :], FLOW_KEY_LENGTH)
+    digest = unpack_head(_DIGEST, content)[0]
+    keys = split_octets(content[_DIGEST.size :], FLOW_KEY_LENGTH)
     return Question(digest, keys)
 
 
@@ -175,9 +137,9 @@
 
 def unpack_lookup(content: bytes) -> Lookup:
     """Return an answer; raise MalformedEnvelope."""
-    digest = _unpack_head(_DIGEST, content)[0]
+    digest = unpack_head(_DIGEST, content)[0]
     by_key: dict[bytes, tuple[str, ...]] = {}
-    for row in _split_octets(content[_DIGEST.size :], _ROW_LENGTH):
+    for row in split_octets(content[_DIGEST.size :], _ROW_LENGTH):
         key = row[:FLOW_KEY_LENGTH]
         host = row[FLOW_KEY_LENGTH:]
         found = () if host == _NOBODY else (socket.inet_ntoa(host),)
@@ -192,34 +154,13 @@
     starts = range(0, max(len(every), 1), MAX_HOSTS)
     return tuple(
         _COVERAGE.pack(digest, part, len(starts))
-        + b''.join(map(socket.inet_aton, every[start : start + MAX_HOSTS]))
+        + pack_hosts(every[start : start + MAX_HOSTS])
         for part, start in enumerate(starts)
     )
 
 
 def unpack_coverage(content: bytes) -> Coverage:
     """Return a part of the hosts; raise MalformedEnvelope."""
-    head = _unpack_head(_COVERAGE, content)
-    hosts = _unpack_hosts(content[_COVERAGE.size :])
+    head = unpack_head(_COVERAGE, content)
+    hosts = unpack_hosts(content[_COVERAGE.size :])
     return Coverage._make((*head, hosts))
-
-
-def _unpack_head(layout: struct.Struct, content: bytes) -> tuple[int, ...]:
-    try:
-        return layout.unpack_from(content)
-    except struct.error as error:
-        raise MalformedEnvelope(len(content)) from error
-
-
-def _unpack_hosts(octets: bytes) -> tuple[str, ...]:
-    parts = _split_octets(octets, _HOST_LENGTH)
-    return tuple(map(socket.inet_ntoa, parts))
-
-
-def _split_octets(octets: bytes, length: int) -> tuple[bytes, ...]:
-    if len(octets) % length:
-        raise MalformedEnvelope(len(octets))
-    return tuple(
-        octets[start : start + length]
-        for start in range(0, len(octets), length)
-    )
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -54,8 +54,8 @@
     MISS = 4
     #: Agent to balancer: this flow is held here; a flow key follows.
     OWNED = 5
-    #: Balancer to agent: please report your load for some seconds; a
-    #: DirectoryNotice may follow, as with ASK.
+    #: Balancer to agent: please report your load for some seconds; an
+    #: UpstreamNotice follows, as with ASK.
     HELLO = 6
     #: Agent to balancer: a LoadReport follows.
     REPORT = 7
--- a/tests/packets/building.py
+++ b/tests/packets/building.py
@@ -107,6 +107,8 @@
     revision: int,
     upstreams: Iterable[PacketUpstream],
     routes: tuple[PacketRoute, ...] = (BOARD, PROOF),
+    *,
+    evacuated: Iterable[str] = (),
 ) -> Catalog:
     """Return a catalog; the version of its routes is its revision."""
     return Catalog(
@@ -114,4 +116,5 @@
         RouteSet(revision, routes, 15),
         {upstream.upstream_id: upstream for upstream in upstreams},
         revision,
+        dict.fromkeys(evacuated, revision),
     )
--- a/tests/packets/directory_machine.py
+++ b/tests/packets/directory_machine.py
@@ -103,9 +103,15 @@
         self.speak(data, BALANCERS[1])
         self.deliver_all()
 
-    def _add_upstream(self, number: int, service: str) -> None:
+    def _start(
+        self,
+        number: int,
+        row: PacketUpstream,
+        *,
+        keeps_agent: bool,
+    ) -> None:
         self._begin_start()
-        super()._add_upstream(number, service)
+        super()._start(number, row, keeps_agent=keeps_agent)
         self.began[self.revision] = self.now
 
     def _list_rows(self) -> list[PacketUpstream]:
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -121,6 +121,8 @@
         self.next_port = 1
         #: Host that nothing reaches.
         self.cut_off = ''
+        #: Availability zones out of service, as all agents know by now.
+        self.evacuated: tuple[str, ...] = ()
         for number in self.hosts:
             self._add_upstream(number, 'board' if number % 2 else 'proof')
         self.balancers = {host: self._make_balancer() for host in BALANCERS}
@@ -155,7 +157,11 @@
     @rule(host=st.sampled_from(BALANCERS))
     def learn(self, host: str) -> None:
         """Let a balancer learn what is listed now."""
-        catalog = make_catalog(self.revision, self._list_rows())
+        catalog = make_catalog(
+            self.revision,
+            self._list_rows(),
+            evacuated=self.evacuated,
+        )
         event = balancer_events.CatalogChanged(self.now, catalog)
         self._run_balancer(host, event)
         seen = balancer_events.StoreSeen(
@@ -391,6 +397,10 @@
         expected = FORMAT.make_route_key(allowed.host, allowed.port)
         if datagram[26] & SYN:
             assert route == expected, 'another service'  # noqa: S101
+            holds = key in upstream.half_open | upstream.open
+            left = upstream.row.availability_zone in self.evacuated
+            if left and not holds:
+                raise AssertionError('a zone that was left')
         flow = self.flows.get(key)
         if flow is not None and datagram[26] & SYN:
             clean = FORMAT.without_bounce(datagram)
@@ -401,20 +411,37 @@
     # How the world works.
 
     def _add_upstream(self, number: int, service: str) -> None:
+        row = make_upstream(number, service, generation=self.generation + 1)
+        self._start(number, row, keeps_agent=False)
+
+    def _start(
+        self,
+        number: int,
+        row: PacketUpstream,
+        *,
+        keeps_agent: bool,
+    ) -> None:
+        """Start an upstream on a host; the former one there is gone."""
         self.generation += 1
         self.revision += 1
-        row = make_upstream(number, service, generation=self.generation)
-        row = row._replace(
+        later = row._replace(
+            address=make_upstream(number).address,
             revision=self.revision,
             warm_up_seconds=self.warm_up,
+            started=self.generation,
         )
-        host = row.address.host
+        host = later.address.host
         former = self.upstreams.get(host)
         if former is not None:
-            self.listed.pop(former.row.upstream_id, None)
-        self.upstreams[host] = FakeUpstream(row)
-        self.agents[host] = AgentState(FORMAT, service, self.now, host)
-        self.listed[row.upstream_id] = row
+            listed = self.listed.get(former.row.upstream_id)
+            if listed == former.row:
+                self.listed.pop(former.row.upstream_id)
+        self.upstreams[host] = FakeUpstream(later)
+        same_service = former and former.row.service == later.service
+        if not (keeps_agent and same_service):
+            agent = AgentState(FORMAT, later.service, self.now, host)
+            self.agents[host] = agent
+        self.listed[later.upstream_id] = later
 
     def _list_rows(self) -> list[PacketUpstream]:
         return list(self.listed.values())
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -4,29 +4,30 @@
 from unittest import TestCase
 
 from keelgap.packets.directory import (
-    FlowDirectory,
     choose_nodes,
     digest_hosts,
     make_directory,
 )
 from keelgap.packets.directory_messages import (
-    DirectoryNotice,
     Lookup,
     Question,
     Registration,
     pack_coverage,
     pack_lookup,
-    pack_notice,
     pack_question,
     pack_registration,
     unpack_coverage,
     unpack_lookup,
-    unpack_notice,
     unpack_question,
     unpack_registration,
 )
 from keelgap.packets.envelopes import Envelope, EnvelopeKind
 from keelgap.packets.exceptions import MalformedEnvelope
+from keelgap.packets.notices import (
+    UpstreamNotice,
+    pack_notice,
+    unpack_notice,
+)
 from keelgap_agent.packets import defaults as agent_defaults
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import (
@@ -49,6 +50,12 @@
 FLOW = FlowName('100.64.0.7', 40001)
 HOSTS = tuple(f'10.0.0.{number}' for number in range(1, 13))
 DIRECTORY = make_directory(5, HOSTS, defaults.MAX_ASKED)
+NOTICE = UpstreamNotice(
+    DIRECTORY.revision,
+    DIRECTORY.shards,
+    upstream_tag=1,
+    upstream_revision=1,
+)
 NODES = choose_nodes(DIRECTORY, FLOW.key)
 FIRST, SECOND = NODES
 OWN = next(host for host in HOSTS if host not in NODES)
@@ -60,7 +67,16 @@
 
     def test_messages_come_back_as_they_were(self) -> None:
         """Each kind, with and without rows."""
-        notice = DirectoryNotice(DIRECTORY, 7, 9, is_young=True)
+        notice = UpstreamNotice(
+            DIRECTORY.revision,
+            DIRECTORY.shards,
+            7,
+            9,
+            is_young=True,
+            is_evacuated=True,
+            warm_up_ms=1500,
+            cold_per_second=2.5,
+        )
         self.assertEqual(unpack_notice(pack_notice(notice)), notice)
         question = Question(3, (FLOW.key,))
         self.assertEqual(unpack_question(pack_question(question)), question)
@@ -142,8 +158,7 @@
 
     def notice(self, **fields: Any) -> list[Registration]:
         """Let a balancer tell of the directory; return what is registered."""
-        notice = DirectoryNotice(DIRECTORY, 1, 1, is_young=False)
-        content = pack_notice(notice._replace(**fields))
+        content = pack_notice(NOTICE._replace(**fields))
         return self.read(self.hear(BALANCER, EnvelopeKind.HELLO, content))
 
     def open(self, port: int) -> list[Registration]:
@@ -188,10 +203,10 @@
         self.notice()
         self.open(1)
         other = next(host for host in HOSTS if host not in {*NODES, OWN})
-        moved = FlowDirectory(6, ((FIRST, other),))
-        registered = self.notice(directory=moved)
+        moved = ((FIRST, other),)
+        registered = self.notice(revision=6, shards=moved)
         self.assertEqual([len(one.keys) for one in registered], [1, 1])
-        self.assertEqual(self.notice(directory=moved), [])
+        self.assertEqual(self.notice(revision=6, shards=moved), [])
 
     def test_directory_outlasts_long_silence_of_balancers(self) -> None:
         """Found on the users' bench: an open flow was reset.
@@ -207,8 +222,8 @@
     def test_older_notice_changes_nothing(self) -> None:
         """A balancer that was frozen wakes with an old view."""
         self.notice()
-        old = FlowDirectory(4, ((HOSTS[0], HOSTS[1]),))
-        self.assertEqual(self.notice(directory=old), [])
+        old = ((HOSTS[0], HOSTS[1]),)
+        self.assertEqual(self.notice(revision=4, shards=old), [])
         self.assertEqual(set(self.state.registrar.streams), {FIRST, SECOND})
 
     def test_agent_younger_than_its_upstream_does_not_know_all(self) -> None:
--- a/tests/packets/test_directory_oracle.py
+++ b/tests/packets/test_directory_oracle.py
@@ -3,7 +3,7 @@
 from typing import Any
 from unittest import TestCase, mock
 
-from keelgap_agent.packets import registration
+from keelgap_agent.packets import notices, registration
 from keelgap_balancer.packets import verdicts
 from tests.fuzzing import run_machine
 from tests.packets.directory_machine import (
@@ -34,7 +34,7 @@
     state.registrar.is_complete = True
 
 
-note_upstream = registration._note_upstream  # noqa: WPS437
+note_upstream = registration.note_upstream
 list_unspoken = verdicts._list_unspoken  # noqa: WPS437
 begin_stream = registration._begin_stream  # noqa: WPS437
 
@@ -50,8 +50,8 @@
         begin_without_flows,
     ),
     'a young agent that claims to know all flows': (
-        registration,
-        '_note_upstream',
+        notices,
+        'note_upstream',
         claim_completeness,
     ),
 }
@@ -69,4 +69,4 @@
         for name, (owner, attribute, stand_in) in DELIBERATE_FAULTS.items():
             patch = mock.patch.object(owner, attribute, stand_in)
             with self.subTest(name), patch, self.assertRaises(AssertionError):
-                run_machine(SmallDirectoryMachine, 300, STEPS, shrink=False)
+                run_machine(SmallDirectoryMachine, 600, STEPS, shrink=False)
--- a/tests/packets/test_directory_search.py
+++ b/tests/packets/test_directory_search.py
@@ -7,10 +7,10 @@
     Lookup,
     pack_coverage,
     pack_lookup,
-    unpack_notice,
     unpack_question,
 )
 from keelgap.packets.envelopes import NO_STAMP, EnvelopeKind, Stamp
+from keelgap.packets.notices import unpack_notice
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import CatchUp, SendReset, SendToAgent
 from keelgap_balancer.packets.events import TimerFired
--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -37,6 +37,7 @@
     ]
     for upstream_id in gone:
         state.agents.pop(upstream_id)
+        state.gone.discard(upstream_id)
     membership._index(state)  # noqa: WPS437
 
 
@@ -77,6 +78,7 @@
 take_packet = agent_reducer._take_packet  # noqa: WPS437
 release = admission._release  # noqa: WPS437
 
+
 DELIBERATE_FAULTS = {
     'silence that counts as a no': (search, '_ask_again', ask_only_once),
     'an upstream forgotten with its entry': (
--- a/tests/site/test_packet_programs.py
+++ b/tests/site/test_packet_programs.py
@@ -16,14 +16,25 @@
 from urllib.error import HTTPError
 from urllib.request import urlopen
 
+from keelgap.addresses import Address
+from keelgap.catalog.models import PacketUpstream
+from keelgap_platform.documents import ROUTES_KEY
+from keelgap_platform.samples import (
+    make_evacuation_key,
+    make_routes_document,
+    make_upstream_document,
+    make_upstream_key,
+)
 from keelgap_standins.packet_store import PacketStore
 from tests.packets.building import (
     ACK,
+    BOARD,
     FORMAT,
     RST,
     SYN,
     FlowName,
     make_packet,
+    make_upstream,
 )
 from tests.processes import takes_signal
 
@@ -35,6 +46,8 @@
 BALANCER = '127.10.0.1'
 AGENT = '127.10.0.2'
 CALLER = '127.10.1.1'
+UPSTREAM = make_upstream(1)._replace(upstream_id='i-1')
+UPSTREAM_KEY = make_upstream_key(UPSTREAM.upstream_id)
 BALANCER_INI = """
 [instance]
 name = balancer
@@ -65,6 +78,25 @@
 """
 
 
+#: What entries of other writers hold.
+POISON = (
+    b'[' * 100000,
+    b'\xff\xfe',
+    b'{}',
+    b'{"State": "zombie"}',
+    b'[]',
+)
+#: 1,100 entries and views; the octets of others' entries would be 20 MB.
+MOST_GROWTH_KILOBYTES = 8192
+
+
+def read_resident_kilobytes(pid: int) -> int:
+    """Return the memory of a process."""
+    status = Path(f'/proc/{pid}/status').read_text()
+    line = next(one for one in status.splitlines() if 'VmRSS' in one)
+    return int(line.split()[1])
+
+
 def find_ports(count: int) -> list[int]:
     """Return ports that are free on loopback now."""
     with ExitStack() as stack:
@@ -150,27 +182,15 @@
 
     def publish(self) -> None:
         """Write the routes and the upstream into the store."""
-        route = {
-            'Name': 'r',
-            'Host': '198.18.0.1',
-            'Prefix': '/443/',
-            'SloMs': 200,
-            'Priority': 1,
-            'Service': 'board',
-        }
-        limits = {'IdleTimeoutMs': 15000}
-        self.store.put(
-            'op/config',
-            {'Version': 1, 'Routes': [route], 'Limits': limits},
-        )
-        row = {
-            'Service': 'board',
-            'Address': f'{AGENT}:{self.values["app"]}',
-            'Zone': 'a',
-            'Concurrency': 3,
-            'State': 'ready',
-        }
-        self.store.put('servers/i-1', row)
+        routes = make_routes_document(1, (BOARD,), ('board', 'proof'))
+        self.store.put(ROUTES_KEY, routes)
+        self.report(UPSTREAM)
+
+    def report(self, upstream: PacketUpstream) -> None:
+        """Write the report of an upstream beside the agent."""
+        address = Address(AGENT, self.values['app'])
+        document = make_upstream_document(upstream._replace(address=address))
+        self.store.put(make_upstream_key(upstream.upstream_id), document)
 
     def start(self, package: str, ini: str) -> subprocess.Popen[bytes]:
         """Start one program; it is ended with the test."""
@@ -335,14 +355,70 @@
         self.assertEqual(line['needs_restart'], [])
         self.assertEqual(self.send(2, SYN)[26], RST)
 
+    def read_catalog(self) -> dict[str, Any]:
+        """Return the line about the latest catalog of the balancer."""
+        lines = self.read_events('keelgap_balancer', 'catalog_in_force')
+        return lines[-1] if lines else {'revision': 0}
+
+    def test_a_thousand_entries_of_another_writer_harm_nobody(self) -> None:
+        """No program ends, open flows go on, and the good entry serves."""
+        self.open(1)
+        before = read_resident_kilobytes(self.balancer.pid)
+        good = make_upstream_document(UPSTREAM)
+        for number in range(1000):
+            key = make_upstream_key(f'other-{number}')
+            self.store.put_octets(key, POISON[number % len(POISON)])
+            if number % 10 == 0:
+                fine = {**good, 'Address': f'127.10.9.{number // 10 + 1}:80'}
+                self.store.put(make_upstream_key(f'good-{number}'), fine)
+        revision = self.store.revision
+        self.wait_for(lambda: self.read_catalog()['revision'] >= revision)
+        self.assertEqual(self.send(1, ACK, b'GET')[26], ACK)
+        lines = self.read_events('keelgap_balancer', 'entries_refused')
+        self.assertEqual(sum(line['count'] for line in lines), 1000)
+        self.assertLess(len(lines), 100)
+        self.assertEqual(self.read_catalog()['upstreams'], 101)
+        after = read_resident_kilobytes(self.balancer.pid)
+        self.assertLess(after - before, MOST_GROWTH_KILOBYTES)
+
+    def test_zone_out_of_service_takes_no_new_flows(self) -> None:
+        """They are refused at once; open flows go on; then it serves again.
+
+        Also where the agent is told by nobody but an older notice.
+        """
+        self.open(1)
+        mark = make_evacuation_key('a')
+        self.store.put(mark, {})
+        self.wait_for(
+            lambda: self.read_events('keelgap_agent', 'zone_left'),
+        )
+        self.assertEqual(self.send(2, SYN)[26], RST)
+        self.assertEqual(self.send(1, ACK, b'GET')[26], ACK)
+        self.store.remove(mark)
+        self.wait_for(
+            lambda: self.read_events('keelgap_agent', 'zone_returned'),
+        )
+        self.open(3)
+        told = self.read_events('keelgap_balancer', 'zones_changed')
+        self.assertEqual([line['returned'] for line in told], [[], ['a']])
+
+    def test_upstream_that_starts_again_under_its_id(self) -> None:
+        """Its flows are dead and reset at once; new ones open."""
+        self.report(UPSTREAM._replace(started=1000))
+        self.open(1)
+        self.upstream.flows.clear()
+        self.report(UPSTREAM._replace(started=2000))
+        self.assertEqual(self.send(1, ACK, b'GET')[26], RST)
+        self.open(2)
+
     def test_store_may_go_and_forget(self) -> None:
         """What was in force stays, and what changed is read again."""
         self.store.refuses = True
-        self.store.put('op/config', {'Version': 2, 'Routes': [], 'Limits': {}})
+        self.store.put(ROUTES_KEY, {'Version': 2, 'Routes': [], 'Limits': {}})
         self.open(1)
         self.store.refuses = False
         self.store.forgets = True
-        self.store.remove('servers/i-1')
+        self.store.remove(UPSTREAM_KEY)
         self.wait_for(
             lambda: self.send(9, SYN)[26] == RST,
         )
@@ -359,7 +435,7 @@
         self.store.put('other', {})
         time.sleep(0.5)
         self.store.swallows = False
-        self.store.remove('servers/i-1')
+        self.store.remove(UPSTREAM_KEY)
         removed = time.monotonic()
         self.wait_for(
             lambda: self.read_events('keelgap_balancer', 'upstream_gone'),
@@ -375,7 +451,7 @@
             self.wait_until_balancer_is_ready(host)
         logs = ['keelgap_balancer', *(f'balancer-{host}' for host in hosts)]
         self.wait_for(lambda: self.count_logs(logs, 'following_readers') == 3)
-        self.store.remove('servers/i-1')
+        self.store.remove(UPSTREAM_KEY)
         self.wait_for(
             lambda: self.count_logs(logs, 'upstream_gone') == len(logs),
             2,
