--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/conf.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/conf.py
@@ -22,6 +22,8 @@
     metrics_port: int = 0
     #: Control addresses of some balancers, with commas between.
     seeds: str = ''
+    #: Megabits a second of this instance's link; 0 if that is not known.
+    link_megabits: float = 0
 
 
 class StoreSettings(NamedTuple):
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -8,6 +8,7 @@
 __all__ = (
     'DIRECTORY_SECONDS',
     'DRAINED_SECONDS',
+    'FEWEST_WIDE_LINKS',
     'FAR_ASK_SECONDS',
     'FLOW_GENERATION_SECONDS',
     'FORMER_ROUTE_SECONDS',
@@ -32,6 +33,7 @@
     'MAX_HOPS',
     'MAX_OPENINGS',
     'MAX_PARKED',
+    'MAX_PLACES',
     'MAX_SEARCHES',
     'MAX_UNSPOKEN',
     'MIN_NEAR_AGENTS',
@@ -51,9 +53,11 @@
     'SEARCH_STEP_SECONDS',
     'SETTLING_SECONDS',
     'STOP_SECONDS',
+    'THIN_LINK_FACTOR',
     'TIMER_SECONDS',
     'TRAVEL_SECONDS',
     'WARM_UP_SLOTS',
+    'YIELD_SECONDS',
     'YOUNG_REPORTS',
 )
 
@@ -230,6 +234,22 @@
 #: size; SWIM finds three enough.
 NEWS_FACTOR: Final = 3
 
+#: Places of other balancers in one message, besides the own: 56 octets.
+MAX_PLACES: Final = 4
+
+#: A link counts as thin beside others of the zone that carry so many times as
+#: much.  Days at full load with links of 7 and 100 Mbit/s lose a seventh of
+#: their uploads on the thin ones; where links differ less they lose none.
+THIN_LINK_FACTOR: Final = 4
+
+#: So many balancers with wide links must take callers in the zone before one
+#: with a thin link leaves them to it: one may be lost at any moment.
+FEWEST_WIDE_LINKS: Final = 2
+
+#: A balancer with a thin link leaves the rotation when that has been right
+#: for so long.  A wide one that was restarted is back within two seconds.
+YIELD_SECONDS: Final = 2.0
+
 #: Routers take a balancer out after two misses, half a second apart; one more
 #: half second for packets on their way.
 ROUTERS_SECONDS: Final = 1.6
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip.py
@@ -2,9 +2,11 @@
 
 A message has revision (8 octets), flags (1) whether its sender reads the store
 and wants an answer, its sender's incarnation (4), the numbers of balancers it
-names (1) and of changes (1), all in network order; then the named hosts (4
-octets each), changes of beliefs: host (4), incarnation (4) and status (1);
-then claims of readers: host (4) and age in milliseconds (2).
+names (1), of changes (1) and of places (1), all in network order; then the
+named hosts (4 octets each), changes of beliefs: host (4), incarnation (4) and
+status (1); places: host (4), version (4), tag of the availability zone (4) and
+megabits a second (4); then claims of readers: host (4) and age in milliseconds
+(2).
 """
 
 import socket
@@ -15,6 +17,7 @@
 from keelgap.catalog.readers import ReaderClaim
 from keelgap.exceptions import KeelgapError
 from keelgap_balancer.packets.peers import Change, Status
+from keelgap_balancer.packets.places import Place
 
 __all__ = (
     'Gossip',
@@ -23,8 +26,9 @@
     'encode_gossip',
 )
 
-_HEAD: Final = struct.Struct('!Q??IBB')
+_HEAD: Final = struct.Struct('!Q??IBBB')
 _CHANGE: Final = struct.Struct('!4sIB')
+_PLACE: Final = struct.Struct('!4sIII')
 _CLAIM: Final = struct.Struct('!4sH')
 _HOST_LENGTH: Final = 4
 _MILLISECONDS: Final = 1000
@@ -54,6 +58,8 @@
     asks: bool = False
     #: Beliefs about balancers that changed lately.
     changes: tuple[Change, ...] = ()
+    #: Where the sender is, and balancers of which it heard lately.
+    places: tuple[Place, ...] = ()
 
 
 def encode_gossip(gossip: Gossip) -> bytes:
@@ -65,6 +71,7 @@
         gossip.incarnation,
         len(gossip.peers),
         len(gossip.changes),
+        len(gossip.places),
     )
     hosts = map(socket.inet_aton, gossip.peers)
     changes = [
@@ -73,6 +80,10 @@
         )
         for change in gossip.changes
     ]
+    places = [
+        _PLACE.pack(socket.inet_aton(place.host), *place[1:])
+        for place in gossip.places
+    ]
     claims = [
         _CLAIM.pack(
             socket.inet_aton(claim.host),
@@ -80,7 +91,7 @@
         )
         for claim in gossip.claims
     ]
-    return b''.join((head, *hosts, *changes, *claims))
+    return b''.join((head, *hosts, *changes, *places, *claims))
 
 
 def decode_gossip(content: bytes) -> Gossip:
@@ -89,23 +100,38 @@
         head = _HEAD.unpack_from(content)
     except struct.error as error:
         raise MalformedGossip(len(content)) from error
-    *told, hosts, changes = head
-    revision, reads, asks, incarnation = told
-    hosts_end = _HEAD.size + hosts * _HOST_LENGTH
-    changes_end = hosts_end + changes * _CHANGE.size
-    if changes_end > len(content):
-        raise MalformedGossip(len(content))
+    revision, reads, asks, incarnation, *counts = head
+    named, changed, placed, rest = _split_parts(content, counts)
     return Gossip(
         revision,
         reads,
-        tuple(_iterate_hosts(content[_HEAD.size : hosts_end])),
-        tuple(_iterate_claims(content[changes_end:])),
+        tuple(_iterate_hosts(named)),
+        tuple(_iterate_claims(rest)),
         incarnation,
         asks,
-        tuple(_iterate_changes(content[hosts_end:changes_end])),
+        tuple(_iterate_changes(changed)),
+        tuple(_iterate_places(placed)),
     )
 
 
+def _split_parts(content: bytes, counts: list[int]) -> list[bytes]:
+    """Return the octets of hosts, changes, places and claims."""
+    sizes = (_HOST_LENGTH, _CHANGE.size, _PLACE.size)
+    parts = []
+    rest = content[_HEAD.size :]
+    for count, size in zip(counts, sizes, strict=True):
+        part, rest = _cut(rest, count * size)
+        parts.append(part)
+    return [*parts, rest]
+
+
+def _cut(octets: bytes, length: int) -> tuple[bytes, bytes]:
+    """Return the first octets and the others; raise MalformedGossip."""
+    if length > len(octets):
+        raise MalformedGossip(len(octets))
+    return octets[:length], octets[length:]
+
+
 def _iterate_claims(octets: bytes) -> Iterator[ReaderClaim]:
     if len(octets) % _CLAIM.size:
         raise MalformedGossip(len(octets))
@@ -122,6 +148,11 @@
         yield Change(socket.inet_ntoa(host), incarnation, known)
 
 
+def _iterate_places(octets: bytes) -> Iterator[Place]:
+    for host, *rest in _PLACE.iter_unpack(octets):
+        yield Place(socket.inet_ntoa(host), *rest)
+
+
 def _iterate_hosts(octets: bytes) -> Iterator[str]:
     for start in range(0, len(octets), _HOST_LENGTH):
         yield socket.inet_ntoa(octets[start : start + _HOST_LENGTH])
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
@@ -23,6 +23,7 @@
     encode_gossip,
 )
 from keelgap_balancer.packets.peers import Peers
+from keelgap_balancer.packets.places import Places
 
 __all__ = ('GossipDriver',)
 
@@ -34,6 +35,7 @@
         self,
         process: PacketProcess,
         peers: Peers,
+        places: Places,
         catalog: CatalogDriver,
         make_stamp: Callable[[], Stamp],
         control_port: int,
@@ -41,6 +43,7 @@
         """Name the port on which balancers serve their catalogs."""
         self.process = process
         self.peers = peers
+        self.places = places
         self.readers = Readers(peers.own)
         self.catalog = catalog
         self.make_stamp = make_stamp
@@ -80,6 +83,7 @@
             return
         now = self.process.loop.clock()
         self._note_readers(host, gossip, now)
+        self.places.take(gossip.places)
         found = self.peers.take(gossip.changes, now)
         if self.peers.note(host, gossip.incarnation, gossip.peers, now):
             found = (*found, host)
@@ -96,7 +100,9 @@
 
     def _fire(self) -> None:
         now = self.process.loop.clock()
-        self._tell_changes(self.peers.tick(now))
+        lost = self.peers.tick(now)
+        self.places.forget(lost)
+        self._tell_changes(lost)
         self._decide_reading(now)
         self.tell(is_round=True)
 
@@ -142,6 +148,7 @@
             self.peers.incarnation,
             asks,
             self.peers.take_news(),
+            self.places.make_rows(),
         )
         envelope = Envelope(
             EnvelopeKind.GOSSIP,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -45,7 +45,9 @@
 )
 from keelgap_balancer.packets.gossip_driver import GossipDriver
 from keelgap_balancer.packets.peers import Peers
+from keelgap_balancer.packets.places import Places
 from keelgap_balancer.packets.reducer import reduce
+from keelgap_balancer.packets.rotation import Rotation
 from keelgap_balancer.packets.state import PacketState
 
 __all__ = ('PacketBalancer',)
@@ -95,6 +97,12 @@
             # Higher than that of an earlier start, which others may believe.
             incarnation=int(time.time()) % _INCARNATIONS,
         )
+        self.places = Places(
+            settings.instance.address,
+            settings.instance.availability_zone,
+            self.peers.incarnation,
+        )
+        self.rotation = Rotation(now)
         self.caller_socket = sockets.traffic
         self.peer_socket = sockets.peers
         self.handlers = MappingProxyType[type, Callable[[Any], None]]({
@@ -115,6 +123,7 @@
         self.gossip = GossipDriver(
             process,
             self.peers,
+            self.places,
             self.catalog,
             self.state.make_stamp,
             self.control.port,
@@ -173,6 +182,13 @@
         self.peers.change_seeds(_parse_seeds(settings))
         return ('listen.seeds',)
 
+    @property
+    def takes_callers(self) -> bool:
+        """Return whether callers may come here at all."""
+        is_staying = self.stopping_since is None
+        can_serve = self.state.has_catalog and not self.is_isolated
+        return is_staying and can_serve
+
     def _read_caller(self, datagram: bytes, sender: tuple[str, int]) -> None:
         if not self.format.is_whole(datagram):
             self.process.counters.count('drop_malformed_packet')
@@ -230,6 +246,7 @@
             'searches': len(state.searches),
             'parked_flows': len(state.parked),
             'balancers_heard': len(self.peers.heard),
+            'yields_to_wider_links': self.rotation.yields,
         }
 
     def _send_to_agent(self, effect: SendToAgent) -> None:
@@ -272,9 +289,7 @@
         self.process.counters.count(f'store_{call}_{outcome}')
 
     def _make_ready(self, query: str) -> Page:
-        is_staying = self.stopping_since is None
-        can_serve = self.state.has_catalog and not self.is_isolated
-        is_ready = is_staying and can_serve
+        is_ready = self.takes_callers and not self.rotation.yields
         if is_ready != self.was_ready:
             self.was_ready = is_ready
             self.process.lines.tell('readiness_told', ready=is_ready)
@@ -284,6 +299,7 @@
         now = self.loop.clock()
         self._dispatch(TimerFired(now))
         self._note_isolation(now)
+        self._decide_rotation(now)
         if self.stopping_since is not None:
             self._check_stop(now, self.stopping_since)
 
@@ -301,6 +317,22 @@
         event = 'isolated' if isolated else 'isolation_over'
         self.process.lines.tell(event, heard_at=round(self.heard_at, 3))
 
+    def _decide_rotation(self, now: float) -> None:
+        """Leave callers to balancers with wider links, or take them again."""
+        link = int(self.settings.listen.link_megabits)
+        offered = link if self.takes_callers else 0
+        if self.places.change_own(offered):
+            self.gossip.tell()
+        alive = self.peers.heard.keys() - self.peers.suspected.keys()
+        mates = self.places.list_mates(alive)
+        before = self.rotation.yields
+        if self.rotation.decide(self.places.own, mates, now) != before:
+            self.process.lines.tell(
+                'link_yields' if self.rotation.yields else 'link_serves',
+                link_megabits=link,
+                others={one.host: one.link_megabits for one in mates},
+            )
+
     def _check_stop(self, now: float, since: float) -> None:
         """End once the routers send no more, or the time is up."""
         quiet = now - max(self.state.last_caller_packet, since)
--- a/tests/packets/test_gossip.py
+++ b/tests/packets/test_gossip.py
@@ -13,6 +13,7 @@
     encode_gossip,
 )
 from keelgap_balancer.packets.peers import Change, Status
+from keelgap_balancer.packets.places import Place
 
 
 class MessageTests(TestCase):
@@ -32,6 +33,8 @@
         octets = encode_gossip(gossip)
         self.assertEqual(decode_gossip(octets), gossip)
         self.assertLess(len(octets), 50)
+        placed = gossip._replace(places=(Place('10.0.0.8', 4, 5, 100),))
+        self.assertEqual(decode_gossip(encode_gossip(placed)), placed)
         old = gossip._replace(claims=(ReaderClaim('10.0.0.9', 1000.0),))
         (claim,) = decode_gossip(encode_gossip(old)).claims
         self.assertGreater(claim.age, 60)
