--- a/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
@@ -8,6 +8,7 @@
     'AgentEffect',
     'Decided',
     'Observed',
+    'ProbeUpstream',
     'SendToPeer',
     'SendToCaller',
     'SendToUpstream',
@@ -47,4 +48,15 @@
     seconds: float
 
 
-AgentEffect = Observed | SendToUpstream | SendToCaller | SendToPeer | Decided
+class ProbeUpstream(NamedTuple):
+    """Find out whether anybody listens at the upstream's TCP port."""
+
+
+AgentEffect = (
+    ProbeUpstream
+    | Observed
+    | SendToUpstream
+    | SendToCaller
+    | SendToPeer
+    | Decided
+)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/events.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/events.py
@@ -10,6 +10,7 @@
     'StopRequested',
     'TimerFired',
     'UpstreamPacket',
+    'UpstreamProbed',
 )
 
 
@@ -41,4 +42,18 @@
     now: float
 
 
-AgentEvent = EnvelopeArrived | UpstreamPacket | TimerFired | StopRequested
+class UpstreamProbed(NamedTuple):
+    """A probe of the upstream's TCP port ended."""
+
+    now: float
+    #: Whether somebody listens there.
+    listens: bool
+
+
+AgentEvent = (
+    EnvelopeArrived
+    | UpstreamPacket
+    | UpstreamProbed
+    | TimerFired
+    | StopRequested
+)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -25,6 +25,7 @@
     StoreSeen,
     TimerFired,
 )
+from keelgap_balancer.packets.giving_up import expire_searches
 from keelgap_balancer.packets.greeting import greet_agents
 from keelgap_balancer.packets.membership import (
     change_catalog,
@@ -40,7 +41,6 @@
 from keelgap_balancer.packets.parking import park, take_parked
 from keelgap_balancer.packets.search import (
     continue_search,
-    expire_searches,
     pass_over_silent,
     resume_parked,
     take_covered,
@@ -254,10 +254,14 @@
     now = event.now
     state.owners.expire(now)
     state.ages.expire(now)
-    expire_searches(state, now)
+    given_up = expire_searches(state, now)
     forget_gone(state, now)
     forget_former_routes(state, now)
-    return (*pass_over_silent(state, now), *greet_agents(state, now))
+    return (
+        *given_up,
+        *pass_over_silent(state, now),
+        *greet_agents(state, now),
+    )
 
 
 _ENVELOPE_HANDLERS: Final[
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -37,7 +37,6 @@
 
 __all__ = (
     'continue_search',
-    'expire_searches',
     'pass_over_silent',
     'resume_parked',
     'take_found',
@@ -350,14 +349,3 @@
             xxh3_64_intdigest(key, view.seed),
         ),
     )
-
-
-def expire_searches(state: PacketState, now: float) -> None:
-    """Give up searches without a result; a later packet starts anew."""
-    late = [
-        key
-        for key, search in state.searches.items()
-        if now - search.started > defaults.SEARCH_SECONDS
-    ]
-    for key in late:
-        state.searches.pop(key)
