--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 from tempfile import mkdtemp
 from typing import Any, Final
 
-from tests.soak.faults import FAULTS, heal
+from tests.soak.faults import FAULTS, LATER_FAULTS, Fault, heal
 from tests.soak.settings import CALM_SECONDS, FAULT_SECONDS
 from tests.soak.truth import Truth
 from tests.soak.world import World
@@ -23,19 +23,24 @@
 _LAST_SECONDS: Final = 3.0
 _LEAST_SERVED: Final = 0.95
 _START_SECONDS: Final = 3.0
+#: Seeds from here on have the faults of later contracts, too.
+FIRST_LATER_SEED: Final = 1000
+#: Out of service at the end; other zones have upstreams of each service.
+_LEFT_ZONE: Final = 'a'
 
 
 async def _inject(
     world: World,
     random: Random,
     seconds: float,
+    faults: tuple[Fault, ...],
 ) -> list[str]:
     """Let faults come in series that overlap; return their names."""
     names = []
     tasks = []
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        fault = random.choice(FAULTS)
+        fault = random.choice(faults)
         names.append(fault.__name__.strip('_'))
         tasks.append(asyncio.create_task(fault(world, random)))
         await asyncio.sleep(random.uniform(0.1, 2.0))
@@ -63,13 +68,18 @@
     async with AsyncExitStack() as stack:
         await world.start(stack)
         await asyncio.sleep(_START_SECONDS)
-        names = await _inject(world, random, seconds)
+        has_later = seed >= FIRST_LATER_SEED
+        faults = LATER_FAULTS if has_later else FAULTS
+        names = await _inject(world, random, seconds, faults)
         heal(world)
         world.truth.calm_since = time.monotonic()
         await asyncio.sleep(1)
         # These must be in force at the end.
         world.toggle_spare_route()
         world.upstreams[0].drain()
+        if has_later:
+            world.leave_zone(_LEFT_ZONE)
+            world.truth.zone_left = (_LEFT_ZONE, time.monotonic())
         await asyncio.sleep(CALM_SECONDS - 1)
         share = _check_end(world.truth)
     truth = world.truth
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,14 +6,17 @@
 from random import Random
 from typing import Final
 
+from keelgap_platform.documents import UPSTREAM_PREFIX
 from tests.soak.world import World
 
-__all__ = ('FAULTS', 'Fault', 'heal')
+__all__ = ('FAULTS', 'LATER_FAULTS', 'Fault', 'heal')
 
 Fault = Callable[[World, Random], Awaitable[None]]
 
 _PAUSES: Final = (0.2, 0.6, 1.5, 3.0)
 _SERVICES: Final = ('board', 'proof')
+_ZONES: Final = ('a', 'b', 'c')
+_NONSENSE: Final = (b'[' * 100000, b'\xff', b'{}', b'{"State": "zombie"}')
 
 
 async def _kill(world: World, random: Random) -> None:
@@ -188,6 +191,40 @@
 )
 
 
+async def _leave_zone(world: World, random: Random) -> None:
+    """Take an availability zone out of service, and back."""
+    zone = random.choice(_ZONES)
+    world.leave_zone(zone)
+    await asyncio.sleep(random.choice(_PAUSES))
+    world.return_zone(zone)
+
+
+async def _restart_under_id(world: World, random: Random) -> None:
+    """Let an upstream crash and start again under its id."""
+    upstream = random.choice(world.upstreams)
+    upstream.crash()
+    await asyncio.sleep(random.choice((0.1, 0.5)))
+    upstream.start(keeps_id=True)
+
+
+async def _write_nonsense(world: World, random: Random) -> None:
+    """Let another writer put entries that name no upstream."""
+    for number in range(100):
+        octets = random.choice(_NONSENSE)
+        world.store.put_octets(f'{UPSTREAM_PREFIX}other-{number}', octets)
+
+
+#: With what came to the contracts later; earlier seeds draw from FAULTS.
+LATER_FAULTS: Final[tuple[Fault, ...]] = (
+    *FAULTS,
+    _leave_zone,
+    _leave_zone,
+    _restart_under_id,
+    _restart_under_id,
+    _write_nonsense,
+)
+
+
 def heal(world: World) -> None:
     """End all faults that are still under way."""
     world.mesh.heal()
--- a/tests/soak/truth.py
+++ b/tests/soak/truth.py
@@ -57,6 +57,8 @@
         self.added: dict[str, float] = {}
         #: When each upstream's entry said that it leaves.
         self.draining: dict[str, float] = {}
+        #: When the zone was taken out of service that no fault brings back.
+        self.zone_left: tuple[str, float] = ('', float('inf'))
         #: When the last fault ended; none is under way after that.
         self.calm_since = float('inf')
         self.attempts: list[Attempt] = []
@@ -98,6 +100,13 @@
         if settled and now - left > DRAIN_SECONDS:
             self.report('new flow at one that leaves', since=now - left)
 
+    def check_zone(self, zone: str) -> None:
+        """Check a new flow at an upstream of an availability zone."""
+        left, since = self.zone_left
+        waited = time.monotonic() - since
+        if zone == left and self.is_settled and waited > DRAIN_SECONDS:
+            self.report('new flow in a zone that was left', since=waited)
+
     def check_at_caller(self, packet: bytes) -> None:
         """Check a packet that a caller got and that is no reset of ours."""
         if make_canonical(packet) not in self.from_upstreams:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -32,6 +32,7 @@
 _HEARTBEAT_SECONDS: Final = 0.6
 _MISSED_HEARTBEATS: Final = 3
 _LAPSE_SECONDS: Final = _HEARTBEAT_SECONDS * _MISSED_HEARTBEATS
+_MILLISECONDS: Final = 1000
 _WORK_SECONDS: Final = (0.005, 0.05)
 
 
@@ -61,7 +62,12 @@
         self.ports = ports
         self.service = place.service
         self.starts = 0
+        #: Of this start, in the books.
         self.upstream_id = ''
+        #: Of the entry in the store; several starts may have the same.
+        self.entry_id = ''
+        #: Unix milliseconds of the start.
+        self.started = 0
         self.alive = False
         #: Whether the store takes this upstream's writes.
         self.reaches_store = True
@@ -84,14 +90,17 @@
         """Keep the socket."""
         self.transport = transport
 
-    def start(self) -> None:
-        """Start without flows, under a new id; the former entry lapses."""
+    def start(self, *, keeps_id: bool = False) -> None:
+        """Start without flows; under a new id the former entry lapses."""
         self._lose_flows()
         former = self._key
-        loop = asyncio.get_running_loop()
-        loop.call_later(_LAPSE_SECONDS, lambda: self.store.remove(former))
         self.starts += 1
+        self.started = round(time.time() * _MILLISECONDS)
         self.upstream_id = f'{self.place.name}-{self.starts}'
+        if not keeps_id:
+            self.entry_id = self.upstream_id
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LAPSE_SECONDS, lambda: self.store.remove(former))
         self.alive = True
         self.missed = 0
         self._write_entry('ready')
@@ -145,6 +154,8 @@
             self.service,
             opens=opens,
         )
+        if opens:
+            self.truth.check_zone(self.place.zone)
         if opens:
             self.half_open.add(key)
             self._reply(key, SYN | ACK)
@@ -209,19 +220,20 @@
 
     @property
     def _key(self) -> str:
-        return make_upstream_key(self.upstream_id)
+        return make_upstream_key(self.entry_id)
 
     def _write_entry(self, state: str) -> None:
         if not self.reaches_store:
             return
         report = PacketUpstream(
-            self.upstream_id,
+            self.entry_id,
             self.service,
             Address(self.place.host, self.ports.app),
             self.place.zone,
             4,
             'draining' if state == 'draining' else 'active',
             0,
+            started=self.started,
         )
         self.store.put(self._key, make_upstream_document(report))
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,10 @@
 from typing import Any, Final
 
 from keelgap_platform.documents import ROUTES_KEY
-from keelgap_platform.samples import make_routes_document
+from keelgap_platform.samples import (
+    make_evacuation_key,
+    make_routes_document,
+)
 from keelgap_standins.packet_store import PacketStore
 from tests.processes import takes_signal
 from tests.soak.callers import CallerHost, Routers
@@ -171,6 +174,14 @@
         program.send(signal.SIGHUP)
         upstream.start()
 
+    def leave_zone(self, zone: str) -> None:
+        """Take an availability zone out of service."""
+        self.store.put(make_evacuation_key(zone), {})
+
+    def return_zone(self, zone: str) -> None:
+        """Bring an availability zone back."""
+        self.store.remove(make_evacuation_key(zone))
+
     def toggle_spare_route(self) -> None:
         """Add the spare route, or drop it."""
         spare = ROUTES[-1]
