--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -69,7 +69,6 @@
     state.flows[key] = flow
     state.held[key] = _make_held(state, event)
     state.cold.note_passed(now)
-    state.presence.note_passed(now)
     passed = state.pass_on(event.sender, envelope)
     told = (*register(state, key, flow, now), *ask_for_notice(state, event))
     return (*told, passed)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
@@ -37,9 +37,6 @@
     #: Whether the whole fleet starts for the first time, so that no upstream
     #: holds a flow yet.
     first_start: bool = False
-    #: Whether it listens on TCP at its address as well, so that a refusal
-    #: there says that it is gone.
-    listens_on_tcp: bool = False
     #: Python module of the platform's adapter.
     adapter: str = 'keelgap_platform.adapter'
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -20,8 +20,6 @@
     'MAX_SEEN_REQUESTS',
     'OFFER_SECONDS',
     'OUTAGE_SECONDS',
-    'OWED_SECONDS',
-    'PROBE_SECONDS',
     'REGISTERED_SECONDS',
     'REGISTER_SECONDS',
     'RENEW_SECONDS',
@@ -137,14 +135,5 @@
 #: the 65 s of a generation.
 MAX_REGISTERED: Final = 50000
 
-#: An upstream that owes a packet for so long is probed.  It answers openings
-#: and packets of unknown flows within a millisecond or two; the slowest was
-#: seen at five times that.
-OWED_SECONDS: Final = 0.04
-
-#: Pause between probes of an upstream that stays silent.  One that starts
-#: beside its agent is noticed so late at most.
-PROBE_SECONDS: Final = 0.2
-
 #: Longest planned stop; the platform kills after 6 s.
 STOP_SECONDS: Final = 4.0
--- a/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/effects.py
@@ -8,7 +8,6 @@
     'AgentEffect',
     'Decided',
     'Observed',
-    'ProbeUpstream',
     'SendToPeer',
     'SendToCaller',
     'SendToUpstream',
@@ -48,15 +47,4 @@
     seconds: float
 
 
-class ProbeUpstream(NamedTuple):
-    """Find out whether anybody listens at the upstream's TCP port."""
-
-
-AgentEffect = (
-    ProbeUpstream
-    | Observed
-    | SendToUpstream
-    | SendToCaller
-    | SendToPeer
-    | Decided
-)
+AgentEffect = Observed | SendToUpstream | SendToCaller | SendToPeer | Decided
--- a/packages/keelgap-agent/src/keelgap_agent/packets/events.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/events.py
@@ -10,7 +10,6 @@
     'StopRequested',
     'TimerFired',
     'UpstreamPacket',
-    'UpstreamProbed',
 )
 
 
@@ -42,18 +41,4 @@
     now: float
 
 
-class UpstreamProbed(NamedTuple):
-    """A probe of the upstream's TCP port ended."""
-
-    now: float
-    #: Whether somebody listens there.
-    listens: bool
-
-
-AgentEvent = (
-    EnvelopeArrived
-    | UpstreamPacket
-    | UpstreamProbed
-    | TimerFired
-    | StopRequested
-)
+AgentEvent = EnvelopeArrived | UpstreamPacket | TimerFired | StopRequested
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -11,11 +11,6 @@
 from keelgap.packets.exceptions import MalformedEnvelope
 from keelgap.packets.formats import ENDS_FLOW, Flags
 from keelgap_agent.packets import defaults
-from keelgap_agent.packets.absence import (
-    deny,
-    look_for_upstream,
-    take_probe,
-)
 from keelgap_agent.packets.admission import (
     release_all,
     release_held,
@@ -40,7 +35,6 @@
     StopRequested,
     TimerFired,
     UpstreamPacket,
-    UpstreamProbed,
 )
 from keelgap_agent.packets.notices import take_notice
 from keelgap_agent.packets.registration import (
@@ -112,18 +106,6 @@
             Decided('miss_other_service'),
         )
     key = state.format.caller_key(datagram)
-    if state.presence.is_absent:
-        return deny(state, key, event)
-    return _take_flow_packet(state, key, event)
-
-
-def _take_flow_packet(
-    state: AgentState,
-    key: bytes,
-    event: EnvelopeArrived,
-) -> Effects:
-    envelope = event.envelope
-    datagram = envelope.content
     flow = state.flows.get(key)
     if flow is None:
         if envelope.kind == EnvelopeKind.OPEN:
@@ -147,7 +129,6 @@
     if envelope.kind == EnvelopeKind.SEARCH:
         if not flow.confirmed:
             flow.asked_by = event.sender
-            state.presence.note_passed(event.now)
             # Most agents that are asked do not hold the flow; see tell_begun.
             return (passed, *released)
         owned = (state.send(event.sender, EnvelopeKind.OWNED, key),)
@@ -177,7 +158,6 @@
     event: UpstreamPacket,
 ) -> Effects:
     datagram = event.datagram
-    state.presence.note_heard()
     flags = state.format.flags(datagram)
     if flags & _BOUNCED:
         return _take_bounce(state, datagram)
@@ -256,12 +236,11 @@
 
 def _handle_timer(state: AgentState, event: TimerFired) -> Effects:
     now = event.now
-    probes = look_for_upstream(state, now)
     if now - state.swept_at >= defaults.SWEEP_SECONDS:
         state.swept_at = now
         state.directory.expire(now)
-        return (*probes, *_sweep(state, now), *_update(state, now))
-    return (*probes, *_update(state, now))
+        return (*_sweep(state, now), *_update(state, now))
+    return _update(state, now)
 
 
 def _update(state: AgentState, now: float) -> Effects:
@@ -358,7 +337,6 @@
     MappingProxyType({
         EnvelopeArrived: _take_envelope,
         UpstreamPacket: _take_upstream_packet,
-        UpstreamProbed: take_probe,
         TimerFired: _handle_timer,
         StopRequested: _stop,
     })
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -25,7 +25,6 @@
 from keelgap_agent.packets.effects import (
     Decided,
     Observed,
-    ProbeUpstream,
     SendToCaller,
     SendToPeer,
     SendToUpstream,
@@ -36,9 +35,7 @@
     StopRequested,
     TimerFired,
     UpstreamPacket,
-    UpstreamProbed,
 )
-from keelgap_agent.packets.probing import probe_listener
 from keelgap_agent.packets.reducer import reduce
 from keelgap_agent.packets.state import AgentState
 
@@ -84,7 +81,6 @@
             SendToUpstream: self._send_to_upstream,
             SendToCaller: self._send_to_caller,
             SendToPeer: self._send_to_peer,
-            ProbeUpstream: self._probe_upstream,
             Decided: self.decisions.take,
             Observed: self._observe,
         })
@@ -166,7 +162,6 @@
             'directory_flows': len(state.directory.holders),
             'directory_agents': len(state.directory.members),
             'directory_covered': len(state.directory.covered),
-            'upstream_absent': state.presence.is_absent,
             'zone_out_of_service': state.is_evacuated,
             'knows_all_flows': state.registrar.is_complete,
         }
@@ -194,15 +189,6 @@
         datagram = pack_envelope(effect.envelope, stamp)
         self._send(datagram, (effect.host, self.peer_port))
 
-    def _probe_upstream(self, effect: ProbeUpstream) -> None:
-        if not self.settings.upstream.listens_on_tcp:
-            return
-        self.process.counters.count('upstream_probed')
-        probe_listener(self.loop, self.upstream, self._take_probe)
-
-    def _take_probe(self, listens: bool) -> None:  # noqa: FBT001
-        self._dispatch(UpstreamProbed(self.loop.clock(), listens))
-
     def _make_ready(self, query: str) -> Page:
         return make_ready_page(self.state.stopping_since is None)
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -23,7 +23,6 @@
 from keelgap_agent.packets.directory_state import Directory
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import EnvelopeArrived
-from keelgap_agent.packets.presence import Presence
 
 __all__ = (
     'AgentState',
@@ -225,7 +224,6 @@
         self.registrar = Registrar(own, now)
         self.directory = Directory(now)
         self.cold = ColdBound(warm_up.excess, warm_up.slack, now)
-        self.presence = Presence()
         #: Whether the operators took the availability zone out of service.
         self.is_evacuated = False
         #: Revision of the catalog that says so, or that it is in service.
@@ -271,7 +269,7 @@
             busy=self.busy + len(self.held),
             flows=len(self.flows),
             answer_ms=int(self.answer_seconds * _MILLISECONDS),
-            closed=not self.takes_flows,
+            closed=self.stopping_since is not None or self.is_evacuated,
         )
 
     def send(
@@ -302,12 +300,6 @@
         mark = self.balancers.make_mark(host, envelope.hop, envelope.kind)
         return SendToUpstream(self.format.with_mark(envelope.content, mark))
 
-    @property
-    def takes_flows(self) -> bool:
-        """Return whether new flows may come at all."""
-        is_staying = self.stopping_since is None
-        return is_staying and not (self.is_evacuated or self.presence.is_absent)
-
     @property
     def has_room(self) -> bool:
         """Return whether the upstream can start on another request."""
