--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
@@ -22,24 +22,30 @@
     return tuple(
         effect
         for key in late
-        for effect in _give_up(state, key, state.searches.pop(key))
+        for effect in _give_up(state, key, state.searches.pop(key), now)
     )
 
 
-def _give_up(state: PacketState, key: bytes, search: Search) -> Effects:
+def _give_up(
+    state: PacketState,
+    key: bytes,
+    search: Search,
+    now: float,
+) -> Effects:
     """Tell who may still hold a flow that could not be found or reset."""
     route = state.find_route(search.latest) if search.latest else None
     if route is None:
         # A new flow that was offered to several agents.
         return ()
     nodes = list_nodes(state, route, key)
-    undenied = list_undenied(state, search, route, nodes, 1)
+    undenied = list_undenied(state, search, route, nodes, 1, now)
+    unsure = list_undenied(state, search, route, nodes, COPIES, now)
     fields = {
         'flow': state.format.describe_key(key),
         'asked': search.questions,
         'undenied': len(undenied),
         'hosts': [view.host for view in undenied[:MAX_NAMED]],
-        'unsure': len(list_undenied(state, search, route, nodes, COPIES)),
+        'unsure': len(unsure),
         'nodes': nodes,
         'denied_by': tuple(search.denied),
     }
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
@@ -6,6 +6,7 @@
 from keelgap.packets.directory import NO_DIRECTORY
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap.packets.notices import UpstreamNotice, pack_notice
+from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.state import AgentView, PacketState
 
@@ -42,12 +43,16 @@
     zones: frozenset[str],
     now: float,
 ) -> Effects:
-    """Tell all agents of some availability zones at once.
+    """Tell the agents of some availability zones at once.
 
-    They refuse what balancers offer that have not read of it yet.
+    They refuse what balancers offer that have not read of it yet.  In a large
+    fleet only the balancers of the same zone tell them: at the size to design
+    for each agent hears 124 times of it, and not 2,600 times.
     """
+    is_small = len(state.by_host) <= defaults.MAX_GREETED
     return tuple(
         view.send(EnvelopeKind.ASK, make_notice(state, view, now))
         for view in state.by_host.values()
         if view.upstream.availability_zone in zones
+        and (is_small or state.is_near(view))
     )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -91,13 +91,13 @@
     asked = _look_up_next(state, search, nodes, key, now)
     if asked or search.lookups:
         return asked
-    unknown = list_undenied(state, search, route, nodes, 1)
+    unknown = list_undenied(state, search, route, nodes, 1, now)
     if unknown:
         if _waits_for_directory(search, unknown, nodes, now):
             return ()
         return _ask_members(state, search, key, unknown, now)
     # A registration may be on its way, or lost, at one node.
-    unsure = list_undenied(state, search, route, nodes, COPIES)
+    unsure = list_undenied(state, search, route, nodes, COPIES, now)
     if len(unsure) > defaults.MAX_ASKED:
         # The other node is dark, and its own agent could not deny the flow.
         return ()
--- a/tests/packets/test_evacuation.py
+++ b/tests/packets/test_evacuation.py
@@ -129,6 +129,19 @@
         self.assertEqual(told.keys(), {*NEAR, '10.0.0.9'})
         self.assertFalse(any(one.is_evacuated for one in told.values()))
 
+    def test_in_a_large_fleet_the_balancers_of_the_zone_tell(self) -> None:
+        """Each agent would hear it from thousands otherwise."""
+        self.boards += [
+            make_upstream(number, availability_zone='b')
+            for number in range(10, 10 + defaults.MAX_GREETED)
+        ]
+        self.evacuate()
+        told = read_notices(self.evacuate('a', 'b'))
+        others = told.keys() - {*NEAR, '10.0.0.9'}
+        self.assertEqual(len(told) - len(others), len(NEAR) + 1)
+        # One is greeted in its turn.
+        self.assertLessEqual(len(others), defaults.GREETINGS_AT_ONCE)
+
     def test_greetings_repeat_it(self) -> None:
         """The first message may have been lost."""
         self.evacuate('a')
