--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -143,8 +143,10 @@
 #: power failure with the store silent, and 300 requests of 3,400 from service.
 LEFT_SECONDS: Final = 1.2
 
-#: A search without a result is given up after this and may start anew.
-SEARCH_SECONDS: Final = 1.0
+#: A search without a result is given up after this and may start anew.  It
+#: outlasts LEFT_SECONDS: what was denied so far need not be asked again, and a
+#: caller repeats its packet only after 1.4 s.
+SEARCH_SECONDS: Final = 2.0
 
 #: Pause between greetings to an agent, which keep its reports coming.
 HELLO_SECONDS: Final = 1.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -304,7 +304,10 @@
     is_waiting = bool(search.latest) and search.parked is None
     if not is_waiting or now - search.pending_since < search.patience:
         return False
-    return search.pending is None or _has_others(state, search)
+    pending = state.by_host.get(search.pending or '')
+    if pending is None or pending.has_left(now):
+        return True
+    return _has_others(state, search)
 
 
 def _has_others(state: PacketState, search: Search) -> bool:
--- a/tests/packets/starts_machine.py
+++ b/tests/packets/starts_machine.py
@@ -33,6 +33,29 @@
         for place, row in zip((other, number), rows, strict=True):
             self._start(place, row, keeps_agent=False)
 
+    @rule(
+        service=st.sampled_from(('board', 'proof')),
+        host=st.sampled_from(BALANCERS),
+    )
+    def serve(self, service: str, host: str) -> None:
+        """A new flow is taken where the service has an upstream."""
+        takers = [
+            one
+            for one in self.upstreams.values()
+            if one.row.service == service
+            and one.accepts
+            and self.listed.get(one.row.upstream_id) == one.row
+        ]
+        if not takers:
+            return
+        self.deliver_all()
+        self.learn(host)
+        self.deliver_all()
+        self.open(service, host, 0)
+        key = next(reversed(self.flows))
+        self.deliver_all()
+        assert key in self.accepted, 'a new flow was refused'  # noqa: S101
+
     @rule()
     def leave_zone(self) -> None:
         """Take the availability zone out of service, and back.
--- a/tests/packets/test_left.py
+++ b/tests/packets/test_left.py
@@ -11,11 +11,13 @@
 
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap_balancer.packets import defaults
-from keelgap_balancer.packets.effects import SendReset
+from keelgap_balancer.packets.effects import SendReset, SendToAgent
 from keelgap_balancer.packets.events import TimerFired
+from keelgap_balancer.packets.state import PacketState
 from tests.packets import test_balancer
 from tests.packets.building import (
     ACK,
+    FORMAT,
     make_catalog,
     make_packet,
     make_upstream,
@@ -71,6 +73,35 @@
         self.report('10.0.0.1')
         self.assertTrue(self.is_reset())
 
+    def test_the_search_goes_on_by_itself(self) -> None:
+        """The caller's next packet may be a second away."""
+        self.assertFalse(self.is_reset())
+        resets = []
+        for _ in range(20):
+            self.now += defaults.TIMER_SECONDS
+            self.report('10.0.0.1')
+            resets += [
+                effect
+                for effect in self.take(TimerFired(self.now))
+                if isinstance(effect, SendReset)
+            ]
+        self.assertEqual(len(resets), 1)
+
+    def test_those_that_leave_are_asked_at_once(self) -> None:
+        """A balancer that begins learns who has left without a flow."""
+        self.state = PacketState(FORMAT, 'a', self.now)
+        effects = self.change(
+            make_catalog(
+                9,
+                [
+                    make_upstream(number, state='draining')
+                    for number in range(1, 2 * defaults.MAX_GREETED)
+                ],
+            ),
+        )
+        asked = {one.host for one in effects if isinstance(one, SendToAgent)}
+        self.assertEqual(len(asked), 2 * defaults.MAX_GREETED - 1)
+
     def test_an_agent_that_is_restarted_is_waited_for(self) -> None:
         """It holds its flows until it answers otherwise."""
         self.assertFalse(self.is_reset())
