--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -24,7 +24,6 @@
     'NEWS_FACTOR',
     'PAUSED_SECONDS',
     'SUSPECT_SECONDS',
-    'LEFT_SECONDS',
     'LOOKUP_AGAIN_SECONDS',
     'LOOKUP_SECONDS',
     'MAX_ASKED',
@@ -136,17 +135,8 @@
 #: the second is heard within another.
 SETTLING_SECONDS: Final = 2 * openings.OPENING_SECONDS
 
-#: An upstream that said it leaves, and whose agent owes an answer for so long,
-#: has left with its machine.  An agent that is restarted beside a living
-#: upstream is silent for 0.6 to 0.9 s.  Two such upstreams, listed until their
-#: entries lapsed, kept 115 agents' denials from a verdict for 6 s after a
-#: power failure with the store silent, and 300 requests of 3,400 from service.
-LEFT_SECONDS: Final = 1.2
-
-#: A search without a result is given up after this and may start anew.  It
-#: outlasts LEFT_SECONDS: what was denied so far need not be asked again, and a
-#: caller repeats its packet only after 1.4 s.
-SEARCH_SECONDS: Final = 2.0
+#: A search without a result is given up after this and may start anew.
+SEARCH_SECONDS: Final = 1.0
 
 #: Pause between greetings to an agent, which keep its reports coming.
 HELLO_SECONDS: Final = 1.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
@@ -22,24 +22,19 @@
     return tuple(
         effect
         for key in late
-        for effect in _give_up(state, key, state.searches.pop(key), now)
+        for effect in _give_up(state, key, state.searches.pop(key))
     )
 
 
-def _give_up(
-    state: PacketState,
-    key: bytes,
-    search: Search,
-    now: float,
-) -> Effects:
+def _give_up(state: PacketState, key: bytes, search: Search) -> Effects:
     """Tell who may still hold a flow that could not be found or reset."""
     route = state.find_route(search.latest) if search.latest else None
     if route is None:
         # A new flow that was offered to several agents.
         return ()
     nodes = list_nodes(state, route, key)
-    undenied = list_undenied(state, search, route, nodes, 1, now)
-    unsure = list_undenied(state, search, route, nodes, COPIES, now)
+    undenied = list_undenied(state, search, route, nodes, 1)
+    unsure = list_undenied(state, search, route, nodes, COPIES)
     fields = {
         'flow': state.format.describe_key(key),
         'asked': search.questions,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -5,12 +5,11 @@
     PacketUpstream,
     UpstreamIdentity,
 )
-from keelgap.packets.envelopes import EnvelopeKind
 from keelgap.runtime.lines import MAX_NAMED
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.directories import change_directories
 from keelgap_balancer.packets.effects import Decided, PacketEffect
-from keelgap_balancer.packets.notices import make_notice, tell_zones
+from keelgap_balancer.packets.notices import tell_zones
 from keelgap_balancer.packets.state import AgentView, FormerRoute, PacketState
 
 __all__ = ('change_catalog', 'forget_former_routes', 'forget_gone')
@@ -36,28 +35,11 @@
     _index(state)
     return (
         *effects,
-        *_ask_leaving(state, now),
         *change_directories(state, now),
         *_change_zones(state, before, now),
     )
 
 
-def _ask_leaving(state: PacketState, now: float) -> Effects:
-    """Ask agents of upstreams that leave, of which nothing was heard.
-
-    Some have left already, and each second until that is known is one in which
-    flows wait for a verdict.
-    """
-    asked = []
-    for view in state.by_host.values():
-        is_known = view.last_heard > float('-inf') or view.waiting_since
-        if view.upstream.state == 'draining' and not is_known:
-            view.expect_answer(now)
-            notice = make_notice(state, view, now)
-            asked.append(view.send(EnvelopeKind.ASK, notice))
-    return tuple(asked)
-
-
 def _change_zones(
     state: PacketState,
     before: Catalog,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -91,13 +91,13 @@
     asked = _look_up_next(state, search, nodes, key, now)
     if asked or search.lookups:
         return asked
-    unknown = list_undenied(state, search, route, nodes, 1, now)
+    unknown = list_undenied(state, search, route, nodes, 1)
     if unknown:
         if _waits_for_directory(search, unknown, nodes, now):
             return ()
         return _ask_members(state, search, key, unknown, now)
     # A registration may be on its way, or lost, at one node.
-    unsure = list_undenied(state, search, route, nodes, COPIES, now)
+    unsure = list_undenied(state, search, route, nodes, COPIES)
     if len(unsure) > defaults.MAX_ASKED:
         # The other node is dark, and its own agent could not deny the flow.
         return ()
@@ -304,10 +304,7 @@
     is_waiting = bool(search.latest) and search.parked is None
     if not is_waiting or now - search.pending_since < search.patience:
         return False
-    pending = state.by_host.get(search.pending or '')
-    if pending is None or pending.has_left(now):
-        return True
-    return _has_others(state, search)
+    return search.pending is None or _has_others(state, search)
 
 
 def _has_others(state: PacketState, search: Search) -> bool:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -140,14 +140,6 @@
         since = self.waiting_since
         return since is not None and now - since > defaults.QUIET_SECONDS
 
-    def has_left(self, now: float) -> bool:
-        """Return whether it said that it leaves, and its agent is silent."""
-        since = self.waiting_since
-        is_leaving = self.upstream.state == 'draining'
-        if since is None or not is_leaving:
-            return False
-        return now - since >= defaults.LEFT_SECONDS
-
     def is_open(self) -> bool:
         """Return whether it takes new flows, as far as is known."""
         return (
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -1,8 +1,7 @@
 """When a flow is dead, and what is told to its caller.
 
 It is once each upstream of its route has been denied: by its agent, or by
-both nodes of the directory.  Silence is no denial, but of an upstream that
-had said that it leaves, while others answer.
+both nodes of the directory.  Silence is no denial.
 """
 
 from keelgap.catalog.models import PacketRoute
@@ -77,23 +76,15 @@
     route: PacketRoute,
     nodes: tuple[str, ...],
     denials: int,
-    now: float,
 ) -> list[AgentView]:
     """Return the agents that may hold a flow.
 
-    Neither did they deny it themselves, nor did so many directory nodes, nor
-    have they left.  Who hears nobody deny cannot tell who has left.
+    Neither did they deny it themselves, nor did so many directory nodes.
     """
     speaking = tuple(host for host in nodes if _speaks(state, search, host))
     unspoken = _list_unspoken(state, route, speaking, denials)
     unsure = dict.fromkeys((*unspoken, *_list_named(state, search)))
-    hears_others = bool(search.missed or speaking)
-    return [
-        view
-        for view in unsure
-        if view.host not in search.missed
-        and not (hears_others and view.has_left(now))
-    ]
+    return [view for view in unsure if view.host not in search.missed]
 
 
 def _speaks(state: PacketState, search: Search, host: str) -> bool:
