--- a/experiments/days.py
+++ b/experiments/days.py
@@ -56,6 +56,19 @@
     {'kind': 'reset_conns', 'share': 0.5, 'x': 0.5},
     {'kind': 'burst', 'x': 1.8, 'for_s': 4.0},
     {'kind': 'srv_grey', 'share': 0.2, 'for_s': 6.0},
+    {'kind': 'srv_cut', 'share': 0.2, 'for_s': 5.0, 'how': 'reborn'},
+)
+#: What the bench calls the rules that a day may break.
+RULES: tuple[str, ...] = (
+    'FLOW',
+    'ROUTE',
+    'MIXED',
+    'UNASKED',
+    'CONFIG',
+    'DRAIN',
+    'RECOVER',
+    'EVAC',
+    'FAILBACK',
 )
 PLANS: tuple[dict[str, Any], ...] = (
     {'kind': 'release', 'share': 0.5, 'gap_s': 0.8},
@@ -164,7 +177,7 @@
         'worth': float(worth.group(1)) if worth else None,
         'status': done.returncode,
         'broken': re.findall(
-            r'^.*\b(?:FLOW|ROUTE|MIXED|UNASKED|CONFIG|DRAIN|RECOVER)\b.*$',
+            rf'^.*\b(?:{"|".join(RULES)})\b.*$',
             done.stdout,
             re.MULTILINE,
         )[:5],
