--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/places.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/places.py
@@ -68,7 +68,7 @@
                 self.left.pop(heard)
         return (self.own, *map(self.known.__getitem__, told))
 
-    def list_mates(self, alive: Container[str]) -> list[Place]:
+    def list_in_zone(self, alive: Container[str]) -> list[Place]:
         """Return the others of the own zone that live."""
         return [
             place
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/rotation.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/rotation.py
@@ -19,16 +19,16 @@
 __all__ = ('Rotation', 'has_thin_link')
 
 
-def has_thin_link(own: Place, mates: list[Place]) -> bool:
+def has_thin_link(own: Place, others: list[Place]) -> bool:
     """Return whether the others of a zone should carry its callers."""
     enough = own.link_megabits * defaults.THIN_LINK_FACTOR
-    wide = [one for one in mates if one.link_megabits >= enough]
+    wide = [one for one in others if one.link_megabits >= enough]
     if not own.link_megabits or len(wide) < defaults.FEWEST_WIDE_LINKS:
         return False
     # Those with the thinnest links go first; the host decides among equals.
     rank = (own.link_megabits, own.host)
-    before = sum((one.link_megabits, one.host) < rank for one in mates)
-    return before < (len(mates) + 1) // 2
+    before = sum((one.link_megabits, one.host) < rank for one in others)
+    return before < (len(others) + 1) // 2
 
 
 class _Change(NamedTuple):
@@ -46,14 +46,14 @@
         self.yields = False
         self.wanted = _Change(yields=False, since=now)
 
-    def decide(self, own: Place, mates: list[Place], now: float) -> bool:
+    def decide(self, own: Place, others: list[Place], now: float) -> bool:
         """Return whether to stay out of rotation from now on.
 
         Into rotation at once, since callers may need this balancer; out of
         it only when that has been right for some time, since the routers
         move nearly all flows of the zone each time.
         """
-        yields = has_thin_link(own, mates)
+        yields = has_thin_link(own, others)
         if yields != self.wanted.yields:
             self.wanted = _Change(yields, now)
         waited = now - self.wanted.since
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -324,13 +324,13 @@
         if self.places.change_own(offered):
             self.gossip.tell()
         alive = self.peers.heard.keys() - self.peers.suspected.keys()
-        mates = self.places.list_mates(alive)
+        others = self.places.list_in_zone(alive)
         before = self.rotation.yields
-        if self.rotation.decide(self.places.own, mates, now) != before:
+        if self.rotation.decide(self.places.own, others, now) != before:
             self.process.lines.tell(
                 'link_yields' if self.rotation.yields else 'link_serves',
                 link_megabits=link,
-                others={one.host: one.link_megabits for one in mates},
+                others={one.host: one.link_megabits for one in others},
             )
 
     def _check_stop(self, now: float, since: float) -> None:
--- a/packages/keelgap/src/keelgap/catalog/documents.py
+++ b/packages/keelgap/src/keelgap/catalog/documents.py
@@ -15,6 +15,7 @@
     FollowerEvent,
     SnapshotReceived,
 )
+from keelgap.catalog.exceptions import UNREADABLE
 from keelgap.catalog.models import Entry
 from keelgap.catalog.state import FollowerState
 from keelgap.exceptions import KeelgapError
@@ -34,15 +35,7 @@
 _MOST_OCTETS: Final = 67108864
 #: One octet a character, so that any octets survive.
 _OCTETS: Final = 'latin-1'
-_UNREADABLE: Final = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    zlib.error,
-)
+_UNREADABLE: Final = (*UNREADABLE, zlib.error)
 
 
 class MalformedCatalog(KeelgapError):
--- a/packages/keelgap/src/keelgap/catalog/exceptions.py
+++ b/packages/keelgap/src/keelgap/catalog/exceptions.py
@@ -1,8 +1,20 @@
 """Why an entry of the store counts as absent."""
 
+from typing import Final
+
 from keelgap.exceptions import KeelgapError
 
-__all__ = ('EntryRefused', 'StaleStart', 'UnknownService')
+__all__ = ('UNREADABLE', 'EntryRefused', 'StaleStart', 'UnknownService')
+
+#: What reading a document of another process may raise, whatever it holds.
+UNREADABLE: Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class EntryRefused(KeelgapError):
--- a/tests/packets/test_rotation.py
+++ b/tests/packets/test_rotation.py
@@ -72,10 +72,10 @@
 
     def decide(self, *links: int) -> bool:
         """Decide beside others with these links."""
-        mates = [
+        others = [
             make_place(number, link) for number, link in enumerate(links, 2)
         ]
-        return self.rotation.decide(self.own, mates, self.now)
+        return self.rotation.decide(self.own, others, self.now)
 
     def test_it_yields_after_a_while_and_serves_at_once(self) -> None:
         """Routers move flows each time, but callers must not wait."""
@@ -104,8 +104,8 @@
         first.change_own(WIDE)
         second.take(first.make_rows())
         third.take(second.make_rows())
-        (mate,) = third.list_mates({'10.1.0.1'})
-        self.assertEqual(mate.link_megabits, WIDE)
+        (other,) = third.list_in_zone({'10.1.0.1'})
+        self.assertEqual(other.link_megabits, WIDE)
         for _ in range(100):
             rows = second.make_rows()
         self.assertEqual(rows, (second.own,))
@@ -119,7 +119,7 @@
         other = Places('10.1.0.2', 'a', 5)
         other.take(first.make_rows())
         other.take(before)
-        self.assertEqual(other.list_mates({'10.1.0.1'})[0].link_megabits, 0)
+        self.assertEqual(other.list_in_zone({'10.1.0.1'})[0].link_megabits, 0)
 
     def test_only_those_of_the_zone_that_live_count(self) -> None:
         """Others tell of them for a while."""
@@ -127,9 +127,9 @@
         near = Places('10.1.0.3', 'a', 5)
         own = Places('10.1.0.2', 'a', 5)
         own.take((*far.make_rows(), *near.make_rows(), *own.make_rows()))
-        self.assertEqual(own.list_mates({'10.1.0.1'}), [])
+        self.assertEqual(own.list_in_zone({'10.1.0.1'}), [])
         alive = {'10.1.0.1', '10.1.0.2', '10.1.0.3'}
-        (mate,) = own.list_mates(alive)
-        self.assertEqual(mate.host, '10.1.0.3')
+        (other,) = own.list_in_zone(alive)
+        self.assertEqual(other.host, '10.1.0.3')
         own.forget(['10.1.0.3'])
-        self.assertEqual(own.list_mates(alive), [])
+        self.assertEqual(own.list_in_zone(alive), [])
--- a/tests/site/test_packet_programs.py
+++ b/tests/site/test_packet_programs.py
@@ -126,7 +126,9 @@
                 datagram = self.sock.recv(2048)
             except OSError:
                 return
-            self.sock.sendto(self.answer(datagram), self.outbound)
+            with suppress(OSError):
+                # The test may have ended.
+                self.sock.sendto(self.answer(datagram), self.outbound)
 
     def answer(self, datagram: bytes) -> bytes:
         """Return the packet for a packet."""
