--- a/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
@@ -27,11 +27,11 @@
         return ()
     notice = unpack_notice(event.envelope.content)
     note_upstream(state, notice)
-    state.cold.take(
-        notice.cold_per_second,
-        event.now + notice.warm_up_ms / _MILLISECONDS,
-    )
     effects = _change_zone(state, notice, event.sender)
+    if notice.revision == state.zone_revision:
+        # Not from a balancer that is behind.
+        warm_at = event.now + notice.warm_up_ms / _MILLISECONDS
+        state.cold.take(notice.cold_per_second, warm_at)
     is_later = notice.revision >= state.registrar.directory.revision
     if not notice.shards or not is_later:
         return effects
--- a/tests/packets/test_cold.py
+++ b/tests/packets/test_cold.py
@@ -93,6 +93,11 @@
         ]
         return sum(isinstance(one, SendToUpstream) for one in effects)
 
+    def test_a_balancer_that_is_behind_changes_nothing(self) -> None:
+        """It has not read that the upstream is cold."""
+        self.hear(EnvelopeKind.HELLO, pack_notice(UpstreamNotice(4)))
+        self.assertEqual(self.count_passed(1, 50), MOST)
+
     def test_balancers_together_pass_no_more_than_the_bound(self) -> None:
         """The others go back at once, to go elsewhere."""
         self.assertEqual(self.count_passed(1, 50), MOST)
