--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -93,7 +93,12 @@
         if change:
             changed.setdefault(change, []).append(upstream_id)
     listed = {one.identity for one in catalog.upstreams.values()}
-    for identity in tuple(state.agents.keys() - listed - state.gone):
+    missing = [
+        identity
+        for identity in state.agents
+        if identity not in listed and identity not in state.gone
+    ]
+    for identity in missing:
         change = _miss_entry(state, identity, catalog, now)
         changed.setdefault(change, []).append(identity.upstream_id)
     for returned in tuple(state.gone):
