--- a/packages/keelgap-agent/src/keelgap_agent/packets/cold.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/cold.py
@@ -41,11 +41,11 @@
 
         Where no rate is stated there is no bound.
         """
-        self._forget_old(now)
         if not self.per_second or now >= self.until:
             return False
         if now < self.unknown_until:
             return True
+        self._forget_old(now)
         most = int(self.per_second * self.excess + self.slack)
         return len(self.passed) >= most
 
--- a/packages/keelgap/src/keelgap/catalog/builder.py
+++ b/packages/keelgap/src/keelgap/catalog/builder.py
@@ -8,11 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-from keelgap.catalog.exceptions import (
-    EntryRefused,
-    StaleStart,
-    UnknownService,
-)
+from keelgap.catalog.exceptions import EntryRefused, UnknownService
 from keelgap.catalog.models import (
     NO_CATALOG,
     Catalog,
@@ -116,13 +112,12 @@
             self.upstreams.remove(upstream_id)
             return
         try:
-            self.upstreams.put(self.decoders.decode_upstream(key, entry))
-        except StaleStart:
-            # The later start is in force.
-            raise
+            upstream = self.decoders.decode_upstream(key, entry)
         except EntryRefused:
             self.upstreams.remove(upstream_id)
             raise
+        # A report of a former start is refused, and the later one stays.
+        self.upstreams.put(upstream)
 
     def _update_evacuation(self, key: str, entry: Entry | None) -> None:
         if entry is None:
