--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -27,6 +27,7 @@
 )
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.notices import ask_for_notice
+from keelgap_agent.packets.refusals import find_refusal
 from keelgap_agent.packets.registration import register
 from keelgap_agent.packets.request_log import note_request
 from keelgap_agent.packets.state import AgentState, Flow, Held
@@ -54,17 +55,9 @@
     envelope = event.envelope
     if envelope.slots:
         state.slots = envelope.slots
-    if state.stopping_since is not None:
-        return _give_back(state, event, 'miss_closed')
-    if state.is_evacuated:
-        # Whoever offers is behind, or was when it sent this.
-        return _give_back(state, event, 'miss_zone_left')
-    if state.cold.is_full(now):
-        return _give_back(state, event, 'miss_cold')
-    if len(state.flows) >= defaults.MAX_FLOWS:
-        return _give_back(state, event, 'miss_full')
-    if len(state.held) >= state.slots * defaults.HELD_PER_SLOT:
-        return _give_back(state, event, 'miss_queue_full')
+    refusal = find_refusal(state, now)
+    if refusal is not None:
+        return _give_back(state, event, refusal)
     flow = Flow(now)
     state.flows[key] = flow
     state.held[key] = _make_held(state, event)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/conf.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 from keelgap.conf import InstanceSettings
+from keelgap.packets.features import NO_FEATURE_SETTINGS, FeatureSettings
 
 __all__ = (
     'NO_WARM_UP_SETTINGS',
@@ -63,3 +64,4 @@
     listen: AgentListenSettings
     upstream: UpstreamSettings
     warm_up: WarmUpSettings = NO_WARM_UP_SETTINGS
+    features: FeatureSettings = NO_FEATURE_SETTINGS
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -85,12 +85,14 @@
 
 def _answer_ask(state: AgentState, event: EnvelopeArrived) -> Effects:
     """Take what this balancer says, and report to it once."""
+    state.balancers.report_formats[event.sender] = event.envelope.hop
     taken = take_notice(state, event)
     return (_report(state, event.sender), *taken)
 
 
 def _report(state: AgentState, host: str) -> SendToPeer:
-    content = pack_report(state.make_report())
+    report_format = state.balancers.report_formats.get(host, 0)
+    content = pack_report(state.make_report(), report_format)
     return state.send(host, EnvelopeKind.REPORT, content)
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -12,6 +12,7 @@
     unpack_envelope,
 )
 from keelgap.packets.exceptions import MalformedEnvelope
+from keelgap.packets.features import choose_features
 from keelgap.packets.process import (
     DecisionLog,
     PacketProcess,
@@ -69,6 +70,10 @@
             self.loop.clock(),
             settings.instance.address,
             settings.warm_up,
+            choose_features(
+                settings.features,
+                self.adapter.read_terms(settings.features.terms),
+            ),
         )
         # Otherwise another agent may have passed flows to the upstream.
         self.state.registrar.is_complete = settings.upstream.first_start
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -13,6 +13,7 @@
     Stamp,
     compute_service_tag,
 )
+from keelgap.packets.features import NO_FEATURES, Features
 from keelgap.packets.formats import PacketFormat
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.cold import ColdBound
@@ -133,6 +134,8 @@
         self.numbers: dict[str, int] = {}
         #: When each was last heard to want reports.
         self.greeted: dict[str, float] = {}
+        #: The form of reports that each reads, where it said so.
+        self.report_formats: dict[str, int] = {}
         #: Those that offered a flow since the last reports.
         self.owed: set[str] = set()
 
@@ -213,9 +216,11 @@
         now: float,
         own: str = '',
         warm_up: WarmUpSettings = NO_WARM_UP_SETTINGS,
+        features: Features = NO_FEATURES,
     ) -> None:
         """Start without flows; ``own`` is the host of this agent."""
         self.format = packet_format
+        self.features = features
         self.find_request_id = packet_format.find_request_id
         self.read_status = packet_format.read_status
         self.service_tag = compute_service_tag(service)
@@ -270,6 +275,7 @@
             flows=len(self.flows),
             answer_ms=int(self.answer_seconds * _MILLISECONDS),
             closed=self.stopping_since is not None or self.is_evacuated,
+            waiting=len(self.held),
         )
 
     def send(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/conf.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/conf.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from keelgap.conf import InstanceSettings
+from keelgap.packets.features import NO_FEATURE_SETTINGS, FeatureSettings
 
 __all__ = ('BalancerPacketSettings', 'PacketListenSettings', 'StoreSettings')
 
@@ -40,3 +41,4 @@
     instance: InstanceSettings
     listen: PacketListenSettings
     store: StoreSettings
+    features: FeatureSettings = NO_FEATURE_SETTINGS
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
@@ -20,7 +20,7 @@
     unpack_coverage,
     unpack_lookup,
 )
-from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.envelopes import REPORT_FORMAT, EnvelopeKind
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.events import EnvelopeArrived
@@ -75,7 +75,11 @@
 
 def _tell_near(state: PacketState, service: str, now: float) -> Effects:
     return tuple(
-        view.send(EnvelopeKind.ASK, make_notice(state, view, now))
+        view.send(
+            EnvelopeKind.ASK,
+            make_notice(state, view, now),
+            REPORT_FORMAT,
+        )
         for view in state.by_service[service]
         if state.is_near(view)
     )
@@ -135,7 +139,9 @@
         if view.host not in covered and is_due:
             view.noticed_at = now
             notice = make_notice(state, view, now)
-            effects.append(view.send(EnvelopeKind.ASK, notice))
+            effects.append(
+                view.send(EnvelopeKind.ASK, notice, REPORT_FORMAT),
+            )
     return tuple(effects)
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
@@ -10,7 +10,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.envelopes import REPORT_FORMAT, EnvelopeKind
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.notices import make_notice
@@ -34,10 +34,10 @@
         notice = make_notice(state, view, now)
         if is_alone or state.is_near(view):
             view.hello_at = now + defaults.HELLO_SECONDS
-            effects.append(view.send(EnvelopeKind.HELLO, notice))
+            effects.append(view.send(EnvelopeKind.HELLO, notice, REPORT_FORMAT))
         else:
             view.hello_at = now + defaults.FAR_ASK_SECONDS
-            effects.append(view.send(EnvelopeKind.ASK, notice))
+            effects.append(view.send(EnvelopeKind.ASK, notice, REPORT_FORMAT))
     return tuple(effects)
 
 
@@ -47,10 +47,10 @@
     Each balancer has an order of its own.  Balancers that start together and
     share an order greet each agent at the same moment, once in many seconds.
     """
-    due = list(islice(state.greeting, defaults.GREETINGS_AT_ONCE))
+    due = list(islice(state.greeting.left, defaults.GREETINGS_AT_ONCE))
     if not due:
-        seed = state.greeting_seed
-        state.greeting = iter(
+        seed = state.greeting.seed
+        state.greeting.left = iter(
             sorted(
                 state.by_host.values(),
                 key=lambda view: xxh3_64_intdigest(view.host.encode(), seed),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
@@ -4,7 +4,7 @@
 
 from keelgap.catalog.models import ServiceLimits
 from keelgap.packets.directory import NO_DIRECTORY
-from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.envelopes import REPORT_FORMAT, EnvelopeKind
 from keelgap.packets.notices import UpstreamNotice, pack_notice
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
@@ -51,7 +51,11 @@
     """
     is_small = len(state.by_host) <= defaults.MAX_GREETED
     return tuple(
-        view.send(EnvelopeKind.ASK, make_notice(state, view, now))
+        view.send(
+            EnvelopeKind.ASK,
+            make_notice(state, view, now),
+            REPORT_FORMAT,
+        )
         for view in state.by_host.values()
         if view.upstream.availability_zone in zones
         and (is_small or state.is_near(view))
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from keelgap.packets.envelopes import (
+    REPORT_FORMAT,
     EnvelopeKind,
     unpack_report,
 )
@@ -143,7 +144,7 @@
 ) -> Effects:
     """Tell an agent that has just begun what it cannot read itself."""
     notice = make_notice(state, view, event.now)
-    return (view.send(EnvelopeKind.ASK, notice),)
+    return (view.send(EnvelopeKind.ASK, notice, REPORT_FORMAT),)
 
 
 def _take_found(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -16,6 +16,7 @@
     unpack_envelope,
 )
 from keelgap.packets.exceptions import MalformedEnvelope
+from keelgap.packets.features import choose_features
 from keelgap.packets.process import (
     DecisionLog,
     PacketProcess,
@@ -82,6 +83,10 @@
             self.format,
             settings.instance.availability_zone,
             now,
+            choose_features(
+                settings.features,
+                self.adapter.read_terms(settings.features.terms),
+            ),
         )
         self.decisions = DecisionLog(process.lines, process.counters)
         self.stopping_since: float | None = None
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -21,6 +21,7 @@
     Stamp,
     compute_service_tag,
 )
+from keelgap.packets.features import NO_FEATURES, Features
 from keelgap.packets.formats import PacketFormat
 from keelgap.packets.generations import Generations
 from keelgap_balancer.packets import defaults
@@ -30,6 +31,7 @@
 __all__ = (
     'AgentView',
     'FormerRoute',
+    'GreetingRound',
     'NodeView',
     'PacketState',
     'Search',
@@ -259,6 +261,18 @@
         self.parts: dict[int, tuple[str, ...]] = {}
 
 
+class GreetingRound:
+    """Whom to greet next, where there are too many to greet at once."""
+
+    __slots__ = ('left', 'seed')
+
+    def __init__(self, now: float) -> None:
+        """Start before the first round."""
+        self.left: Iterator[AgentView] = iter(())
+        #: Differs from balancer to balancer: none starts at the same moment.
+        self.seed = int(now * _MICROSECONDS) % _SEEDS
+
+
 class PacketState:
     """All that a packet balancer holds."""
 
@@ -267,9 +281,11 @@
         packet_format: PacketFormat,
         availability_zone: str,
         now: float,
+        features: Features = NO_FEATURES,
     ) -> None:
         """Start without a catalog."""
         self.format = packet_format
+        self.features = features
         self.availability_zone = availability_zone
         self.catalog = NO_CATALOG
         self.routes: dict[bytes, PacketRoute] = {}
@@ -284,10 +300,7 @@
         self.near_agents = 0
         #: Those whose entry went.
         self.gone: set[UpstreamIdentity] = set()
-        #: Whom to greet next, where there are too many to greet at once.
-        self.greeting: Iterator[AgentView] = iter(())
-        #: Differs from balancer to balancer: none starts at the same moment.
-        self.greeting_seed = int(now * _MICROSECONDS) % _SEEDS
+        self.greeting = GreetingRound(now)
         self.owners = make_owners(now)
         self.ages = CallerAges()
         self.searches: dict[bytes, Search] = {}
--- a/packages/keelgap/src/keelgap/catalog/models.py
+++ b/packages/keelgap/src/keelgap/catalog/models.py
@@ -48,6 +48,8 @@
     aim_seconds: float = 1.0
     #: Seconds after which a caller no longer waits for an answer.
     timeout_seconds: float = 30.0
+    #: Whether callers may repeat a request that may have run.
+    is_idempotent: bool = False
 
 
 class ServiceLimits(NamedTuple):
--- a/packages/keelgap/src/keelgap/conf.py
+++ b/packages/keelgap/src/keelgap/conf.py
@@ -5,6 +5,7 @@
 
 import configparser
 from collections.abc import Callable, Mapping
+from enum import Enum
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple, TypeVar
 
@@ -177,7 +178,7 @@
 
 def _convert(text: str, hint: object) -> Any:
     """Return a plain value; raise _Doubtful if its form is not plain."""
-    convert = _CONVERSIONS.get(hint)
+    convert = _find_conversion(hint)
     if convert is None:
         raise _Doubtful(hint)
     try:
@@ -186,6 +187,12 @@
         raise _Doubtful(text) from error
 
 
+def _find_conversion(hint: object) -> Callable[[str], Any] | None:
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return hint
+    return _CONVERSIONS.get(hint)
+
+
 def _convert_int(text: str) -> int:
     if not text.lstrip('-').isdecimal():
         raise ValueError(text)
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -3,8 +3,9 @@
 A datagram begins with kind, hop, slots and priority (an octet each), time
 left (2 octets) and service tag (4), then the sender's stamp: a revision (8)
 and a flag (1), all in network order.  A packet, a flow key or a report
-follows.  With an OPEN envelope three spans in milliseconds (2 octets each) come
-before the packet.  A packet is at most 1,240 octets, so nothing is fragmented.
+follows.  With an OPEN or a TRY envelope three spans in milliseconds (2 octets
+each) come before the packet.  A packet is at most 1,240 octets, so nothing is
+fragmented.
 """
 
 import struct
@@ -22,6 +23,7 @@
     'EnvelopeKind',
     'CallerWait',
     'LoadReport',
+    'REPORT_FORMAT',
     'Stamp',
     'MalformedEnvelope',
     'compute_service_tag',
@@ -33,7 +35,18 @@
 
 _HEAD: Final = struct.Struct('!BBBBhIQ?')
 _WAIT: Final = struct.Struct('!HHH')
+#: Busy, flows, answer_ms and flags; all that earlier releases know.
 _REPORT: Final = struct.Struct('!HHHB')
+#: Requests that wait, and the work of one.
+_REPORT_MORE: Final = struct.Struct('!HH')
+_LONG_REPORT_LENGTH: Final = _REPORT.size + _REPORT_MORE.size
+#: Flags of a report.  Earlier releases take any of them for a closed agent.
+_CLOSED: Final = 1
+_EJECTED: Final = 2
+_WANTS_TRIAL: Final = 4
+#: The latest form of reports; a balancer states the one that it reads in the
+#: hop of HELLO and ASK envelopes, earlier releases 0.
+REPORT_FORMAT: Final = 1
 HEAD_LENGTH: Final = _HEAD.size
 #: The highest value of a report's field.
 _MOST: Final = 65535
@@ -73,9 +86,14 @@
     FOUND = 13
     #: Directory node to balancer: a Coverage follows.
     COVERED = 14
+    #: Balancer to agent: as OPEN, of a request that its caller may repeat,
+    #: to find out whether an ejected upstream serves again.
+    TRY = 15
 
 
 _KINDS: Final = frozenset(int(kind) for kind in EnvelopeKind)
+#: Those that say how long a caller waits.
+_WAITING_KINDS: Final = frozenset((EnvelopeKind.OPEN, EnvelopeKind.TRY))
 
 
 class CallerWait(NamedTuple):
@@ -101,10 +119,12 @@
     hop: int
     #: Requests that the upstream runs at once, as a balancer knows; else 0.
     slots: int
-    #: Of a new flow: 0 goes first under overload.
+    #: Of a caller's packet: 0 goes first under overload.
     priority: int
     #: Of a new flow: milliseconds until its answer would be late; below 0 it
-    #: is late already.
+    #: is late already.  Of an open flow: milliseconds within which an answer
+    #: to a new request is in time; 0 if the balancer does not know, and then
+    #: its priority says nothing.
     left_ms: int
     #: Stands for the service that the sender means.
     service_tag: int
@@ -139,6 +159,16 @@
     answer_ms: int
     #: Whether the agent or its upstream takes no new flows.
     closed: bool
+    #: Whether the upstream fails requests, so that only TRY envelopes and
+    #: those that found nobody else are taken.
+    is_ejected: bool = False
+    #: Whether a request that may be repeated should try it again.
+    wants_trial: bool = False
+    #: Requests among ``busy`` that wait at the agent.
+    waiting: int = 0
+    #: Milliseconds that one request keeps one slot of the upstream at work,
+    #: on the average; 0 if that is not known.
+    work_ms: int = 0
 
 
 def compute_service_tag(service: str) -> int:
@@ -157,7 +187,7 @@
         envelope.service_tag,
         *stamp,
     )
-    if envelope.kind == EnvelopeKind.OPEN:
+    if envelope.kind in _WAITING_KINDS:
         head += _WAIT.pack(*(max(min(ms, _MOST), 0) for ms in envelope.wait))
     return head + envelope.content
 
@@ -170,7 +200,7 @@
     stamp = Stamp(latest_change, may_lack_entries)
     start = HEAD_LENGTH
     wait = JUST_BEGUN
-    if datagram[0] == EnvelopeKind.OPEN:
+    if datagram[0] in _WAITING_KINDS:
         start += _WAIT.size
         if len(datagram) < start:
             raise MalformedEnvelope(len(datagram))
@@ -178,19 +208,44 @@
     return Envelope._make((*head, datagram[start:], wait)), stamp
 
 
-def pack_report(report: LoadReport) -> bytes:
-    """Return the octets of a report; values too large are cut."""
-    return _REPORT.pack(
+def pack_report(report: LoadReport, report_format: int = 0) -> bytes:
+    """Return the octets of a report; values too large are cut.
+
+    A receiver of an earlier release, with format 0, reads the short form.
+    """
+    flags = (
+        report.closed * _CLOSED
+        | report.is_ejected * _EJECTED
+        | report.wants_trial * _WANTS_TRIAL
+    )
+    short = _REPORT.pack(
         min(report.busy, _MOST),
         min(report.flows, _MOST),
         min(report.answer_ms, _MOST),
-        report.closed,
+        flags,
+    )
+    if not report_format:
+        return short
+    return short + _REPORT_MORE.pack(
+        min(report.waiting, _MOST),
+        min(report.work_ms, _MOST),
     )
 
 
 def unpack_report(content: bytes) -> LoadReport:
-    """Return a report; raise MalformedEnvelope."""
-    if len(content) != _REPORT.size:
+    """Return a report of either form; raise MalformedEnvelope."""
+    if len(content) not in {_REPORT.size, _LONG_REPORT_LENGTH}:
         raise MalformedEnvelope(len(content))
-    busy, flows, answer_ms, closed = _REPORT.unpack(content)
-    return LoadReport(busy, flows, answer_ms, bool(closed))
+    busy, flows, answer_ms, flags = _REPORT.unpack_from(content)
+    more = content[_REPORT.size :]
+    waiting, work_ms = _REPORT_MORE.unpack(more) if more else (0, 0)
+    return LoadReport(
+        busy,
+        flows,
+        answer_ms,
+        closed=bool(flags & _CLOSED),
+        is_ejected=bool(flags & _EJECTED),
+        wants_trial=bool(flags & _WANTS_TRIAL),
+        waiting=waiting,
+        work_ms=work_ms,
+    )
