--- a/packages/keelgap/src/keelgap/runtime/http.py
+++ b/packages/keelgap/src/keelgap/runtime/http.py
@@ -18,6 +18,7 @@
 __all__ = (
     'HEAD_END',
     'HttpAnswer',
+    'LONGEST_BODY',
     'HttpClient',
     'MalformedAnswer',
     'parse_answer',
@@ -25,9 +26,11 @@
 
 HEAD_END: Final = b'\r\n\r\n'
 _CHUNK: Final = 262144
-#: Longest head of an answer, and longest body: a page of the store has 1 MB.
+#: Octets of the longest head of an answer.
 _MAX_HEAD: Final = 16384
-_MAX_BODY: Final = 16777216
+#: Octets of the longest body, unless a caller sets another bound: the catalog
+#: of another balancer has 16 MB at the size to design for.
+LONGEST_BODY: Final = 16777216
 #: A connection on which nothing comes is probed after so many seconds, and
 #: given up after so many silent probes, so that a waiting call on a path that
 #: was cut fails within 3 s.
@@ -61,10 +64,13 @@
 OnAnswer = Callable[[HttpAnswer], None]
 
 
-def parse_answer(received: bytes) -> _ParsedAnswer | None:
+def parse_answer(
+    received: bytes,
+    longest: int = LONGEST_BODY,
+) -> _ParsedAnswer | None:
     """Return a whole answer, or None while some of it is missing.
 
-    Raises MalformedAnswer.
+    Raises MalformedAnswer, also where the body is longer than so many octets.
     """
     head_length = received.find(HEAD_END)
     total = len(received)
@@ -76,7 +82,7 @@
     status = _parse_status(lines[0])
     headers = _parse_headers(lines[1:])
     length = headers.get(b'content-length', b'')
-    if not length.isdigit() or int(length) > _MAX_BODY:
+    if not length.isdigit() or int(length) > longest:
         raise MalformedAnswer(length)
     start = head_length + len(HEAD_END)
     end = start + int(length)
@@ -109,9 +115,15 @@
 class HttpClient:
     """Calls to one address over a connection that is kept open."""
 
-    def __init__(self, loop: EventLoop, address: Address) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        longest_body: int = LONGEST_BODY,
+    ) -> None:
         """Connect only when the first call is made."""
         self.loop = loop
+        self.longest_body = longest_body
         self.address = address
         self.sock: socket.socket | None = None
         self.on_answer: OnAnswer | None = None
@@ -184,7 +196,7 @@
             return
         self.received += chunk
         try:
-            parsed = parse_answer(self.received)
+            parsed = parse_answer(self.received, self.longest_body)
         except MalformedAnswer as error:
             self._fail(error.code)
             return
--- a/tests/keelgap/test_runtime.py
+++ b/tests/keelgap/test_runtime.py
@@ -198,6 +198,17 @@
         self.assertEqual(self.call('/c').status, 404)
         self.assertIs(self.client.sock, sock)
 
+    def test_body_over_the_callers_bound_fails_the_call(self) -> None:
+        """Before any of it is kept."""
+        self.client.longest_body = 3
+        pages = {
+            '/three': lambda query: Page(200, 'text/plain', b'abc'),
+            '/four': lambda query: Page(200, 'text/plain', b'abcd'),
+        }
+        serve_pages(self.loop, self.address, pages, self.stack)
+        self.assertEqual(self.call('/three'), HttpAnswer(200, b'abc'))
+        self.assertEqual(self.call('/four').failure, MalformedAnswer.code)
+
     def test_refused_connection_fails_the_call(self) -> None:
         """The reason says which error it was."""
         answer = self.call('/a')
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,8 +22,14 @@
 class FakeConnection:
     """Keeps the call that waits on it."""
 
-    def __init__(self, loop: EventLoop, address: Address) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        longest_body: int,
+    ) -> None:
         """Start without a call."""
+        self.longest_body = longest_body
         self.on_answer: Callable[[HttpAnswer], None] | None = None
 
     def get(
@@ -91,7 +97,27 @@
         second.answer(LOST)
         self.assertEqual(self.events, [CallFailed(1.0, 'timeout')])
 
-    def _connect(self, loop: EventLoop, address: Address) -> FakeConnection:
-        connection = FakeConnection(loop, address)
+    def test_one_answer_is_bounded(self) -> None:
+        """Changes of a thousand long entries at once took 60 MB.
+
+        A page with one more entry of the longest kind fits.
+        """
+        page = 1_000_000
+        longest_entry = 1_048_576
+        in_base64 = 4 / 3
+        for connection in self.connections:
+            self.assertLess(connection.longest_body, 4_000_000)
+            self.assertGreater(
+                connection.longest_body,
+                (page + longest_entry) * in_base64,
+            )
+
+    def _connect(
+        self,
+        loop: EventLoop,
+        address: Address,
+        longest_body: int,
+    ) -> FakeConnection:
+        connection = FakeConnection(loop, address, longest_body)
         self.connections.append(connection)
         return connection
