--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -70,13 +70,13 @@
 FIRST_SLOTS: Final = 4
 
 #: Requests passed on beyond the slots, so that the upstream finds its next one
-#: when it ends one.  None and two served as many in the model of an outage.
+#: when it ends one.
 EXTRA_SLOTS: Final = 1
 
 #: New flows that may wait here for each slot: a bound of memory, of 46 MB for
-#: eight slots full of uploads.  1.5 s of requests of 5 ms fill it.  Where 30
-#: could wait, an outage of 2.5 s made 5,000 answers that a queue was full, and
-#: callers whose tries were refused so were gone before there was room.
+#: eight slots full of uploads.  1.5 s of requests of 5 ms fill it; callers who
+#: are refused for a shorter queue after an outage are gone before there is
+#: room.
 HELD_PER_SLOT: Final = 300
 
 #: Opening packets after a pause of this are the first after an outage:
@@ -84,9 +84,7 @@
 OUTAGE_SECONDS: Final = 1.0
 
 #: A caller from an outage goes before all others when it may leave within
-#: this.  After power failures of seven upstreams with two slots and 170 to 220
-#: requests a second it saves a third to five sixths of the callers who left
-#: without an answer; 0.15, 0.6 and 1.0 s save as many.
+#: this: the longest answers take about so long.
 RESCUE_SECONDS: Final = 0.3
 
 #: Packets kept of a request that waits; callers send no more without an
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -141,9 +141,8 @@
 #: Pause between greetings to an agent, which keep its reports coming.
 HELLO_SECONDS: Final = 1.0
 
-#: Pause between questions to an agent of another availability zone.  Reports
-#: of all agents to all balancers were two thirds of the octets between
-#: availability zones on a calm day of edspa-keelgap-grown.
+#: Pause between questions to an agent of another availability zone: octets
+#: between zones cost, and few flows go there.
 FAR_ASK_SECONDS: Final = 2.0
 
 #: With fewer agents in the own availability zone all are greeted alike: the
@@ -159,8 +158,7 @@
 
 #: An agent that owes an answer for so long gets no new flows while others
 #: are there.  Reports come every 0.25 s at least, and a caller sends its
-#: second copy after 0.6 s.  A trial with 0.18 s sent flows to other zones in
-#: calm (0.036 GB a day instead of 0.009 on edspa-keelgap scale-2).
+#: second copy after 0.6 s.
 QUIET_SECONDS: Final = 0.35
 
 #: A balancer that heard no other process for so long is cut off, and says
@@ -179,7 +177,7 @@
 GONE_SECONDS: Final = catalog_defaults.ENTRY_RETURN_SECONDS
 
 #: What it costs to place a flow in another availability zone, as a share of
-#: an upstream's slots.  Set by measurement, see docs/topics/platform.md.
+#: an upstream's slots.
 REMOTE_LOAD: Final = 2.0
 
 #: Load, as a share of an upstream's slots, from which on new flows wait
@@ -238,8 +236,7 @@
 MAX_PLACES: Final = 4
 
 #: A link counts as thin beside others of the zone that carry so many times as
-#: much.  Days at full load with links of 7 and 100 Mbit/s lose a seventh of
-#: their uploads on the thin ones; where links differ less they lose none.
+#: much: callers' uploads wait on it at loads that the others bear.
 THIN_LINK_FACTOR: Final = 4
 
 #: So many balancers with wide links must take callers in the zone before one
--- a/tests/keelgap/test_docs.py
+++ b/tests/keelgap/test_docs.py
@@ -103,7 +103,7 @@
             for name in ('logs.md', 'metrics.md')
         )
         sources = [
-            *ROOT.glob('packages/*/src/*/packets/*.py'),
+            *ROOT.glob('packages/*/src/*/packets/**/*.py'),
             *ROOT.glob('packages/keelgap/src/keelgap/catalog/*.py'),
         ]
         self.assertGreater(len(sources), 20)
@@ -112,7 +112,8 @@
             text = source.read_text('utf-8')
             calls = r"(?:Decided|tell|decide|count|_tell)\(\s*'([a-z_]+)'"
             found.update(re.findall(calls, text))
-            found.update(re.findall(r"held,\s*'(miss_[a-z_]+)'", text))
+            # A reason for giving a flow back is the name of its event.
+            found.update(re.findall("'(miss_[a-z_]+)'", text))
         self.assertGreater(len(found), 25)
         for name in found:
             with self.subTest(name):
--- a/tests/site/test_packet_programs.py
+++ b/tests/site/test_packet_programs.py
@@ -25,7 +25,7 @@
     make_upstream_document,
     make_upstream_key,
 )
-from keelgap_standins.packet_store import PacketStore
+from keelgap_platform.store_standin import PacketStore
 from tests.packets.building import (
     ACK,
     BOARD,
@@ -262,9 +262,22 @@
         for _ in range(20):
             self.caller.sendto(packet, (BALANCER, self.values['port']))
             with suppress(TimeoutError):
-                return self.caller.recv(2048)
+                return self.receive(port, is_opening=bool(flags & SYN))
         raise AssertionError('no answer')
 
+    def receive(self, port: int, *, is_opening: bool) -> bytes:
+        """Return the next answer; raise TimeoutError.
+
+        On a busy machine the copy of a packet is answered after its original,
+        when the caller has gone on.
+        """
+        while True:
+            answer = self.caller.recv(2048)
+            receiver = int.from_bytes(answer[2:4], 'little')
+            is_late = answer[26] == SYN | ACK and not is_opening
+            if receiver == port and not is_late:
+                return answer
+
     def open(self, port: int) -> None:
         """Open a flow and have one request answered."""
         self.assertEqual(self.send(port, SYN)[26], SYN | ACK)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,7 +11,7 @@
     make_upstream_document,
     make_upstream_key,
 )
-from keelgap_standins.packet_store import PacketStore
+from keelgap_platform.store_standin import PacketStore
 from tests.packets.building import (
     ACK,
     BOUNCED,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,7 +16,7 @@
     make_evacuation_key,
     make_routes_document,
 )
-from keelgap_standins.packet_store import PacketStore
+from keelgap_platform.store_standin import PacketStore
 from tests.processes import takes_signal
 from tests.soak.callers import CallerHost, Routers
 from tests.soak.proxies import DatagramMesh, StreamRelay
