--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -13,7 +13,6 @@
 left.  Nothing waits that is not meant to be served.
 """
 
-from collections.abc import Callable
 from typing import Final
 
 from keelgap.packets.envelopes import EnvelopeKind
@@ -23,18 +22,24 @@
 from keelgap_agent.packets.effects import (
     AgentEffect,
     Decided,
-    Observed,
 )
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.notices import ask_for_notice
 from keelgap_agent.packets.refusals import find_refusal
 from keelgap_agent.packets.registration import register
 from keelgap_agent.packets.request_log import note_request
+from keelgap_agent.packets.scheduling.order import (
+    choose_next,
+    has_room,
+    observe_wait,
+)
+from keelgap_agent.packets.scheduling.terms import read_opening
 from keelgap_agent.packets.state import AgentState, Flow, Held
 
 __all__ = (
     'release_all',
     'release_held',
+    'release_request',
     'take_opening',
     'take_waiting',
 )
@@ -59,6 +64,8 @@
     if refusal is not None:
         return _give_back(state, event, refusal)
     flow = Flow(now)
+    if state.features.scheduling:
+        flow.terms = read_opening(envelope)
     state.flows[key] = flow
     state.held[key] = _make_held(state, event)
     state.cold.note_passed(now)
@@ -101,11 +108,11 @@
 def release_held(state: AgentState, now: float) -> Effects:
     """Pass on what the upstream has room for, the first in rank first."""
     effects: list[AgentEffect] = list(_forget_late(state, now))
-    while state.has_room:
+    while has_room(state, now):
         ready = [key for key, held in state.held.items() if held.packets]
         if not ready:
             break
-        key = max(ready, key=_rank_held(state, now))
+        key = choose_next(state, ready, now)
         effects.extend(_release(state, key, now))
     return tuple(effects)
 
@@ -119,18 +126,22 @@
     )
 
 
+def release_request(state: AgentState, key: bytes, now: float) -> Effects:
+    """Pass on what is there of a request that waits."""
+    return _release(state, key, now)
+
+
 def _release(state: AgentState, key: bytes, now: float) -> Effects:
     held = state.held.pop(key)
     flow = state.flows[key]
     effects: list[AgentEffect] = []
-    for sequence in sorted(held.packets):
+    for sequence in flow.sort(held.packets):
         event = held.packets[sequence]
         datagram = event.envelope.content
         state.note_data(flow, sequence, now)
         effects.append(state.pass_on(event.sender, event.envelope))
         effects.extend(note_request(state, key, flow, datagram, now))
-    effects.append(Observed('wait_seconds', now - held.came))
-    return tuple(effects)
+    return (*effects, *observe_wait(state, held, now))
 
 
 def _make_held(state: AgentState, event: EnvelopeArrived) -> Held:
@@ -153,6 +164,9 @@
     """Drop flows whose callers have left by now without a word."""
     late = [key for key, held in state.held.items() if now >= held.leaves]
     for key in late:
+        if state.held.pop(key).is_later:
+            # If its caller is there after all it repeats the request.
+            continue
         state.forget(key)
     return tuple(Decided('held_too_long') for _ in late)
 
@@ -189,10 +203,3 @@
         'busy': state.busy,
         'waiting': len(state.held),
     }
-
-
-def _rank_held(
-    state: AgentState,
-    now: float,
-) -> Callable[[bytes], tuple[int, int, float]]:
-    return lambda key: state.held[key].rank(now, state.answer_seconds)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -48,6 +48,13 @@
     tell_begun,
     tell_unanswered,
 )
+from keelgap_agent.packets.scheduling.later import (
+    begins_to_wait,
+    end_waiting,
+    hold_later,
+    pass_waiting,
+    take_more,
+)
 from keelgap_agent.packets.state import AgentState, Flow
 
 __all__ = ('reduce',)
@@ -121,8 +128,34 @@
             )
         state.flows[key] = flow
     flow.seen = event.now
-    if key in state.held:
-        return take_waiting(state, key, event)
+    take = _choose_queue(state, key, flow, event)
+    if take is not None:
+        return take(state, key, event)
+    return _pass_packet(state, key, flow, event)
+
+
+def _choose_queue(
+    state: AgentState,
+    key: bytes,
+    flow: Flow,
+    event: EnvelopeArrived,
+) -> Callable[[AgentState, bytes, EnvelopeArrived], Effects] | None:
+    """Return what takes a packet of a request that waits; else None."""
+    waiting = state.held.get(key)
+    if waiting is not None:
+        return take_more if waiting.is_later else take_waiting
+    return hold_later if begins_to_wait(state, flow, event) else None
+
+
+def _pass_packet(
+    state: AgentState,
+    key: bytes,
+    flow: Flow,
+    event: EnvelopeArrived,
+) -> Effects:
+    """Pass a packet on, and note what it shows."""
+    envelope = event.envelope
+    datagram = envelope.content
     began = _note_caller_packet(state, key, flow, datagram, event.now)
     passed = state.pass_on(event.sender, envelope)
     # A caller that left may have made room.
@@ -162,7 +195,7 @@
     datagram = event.datagram
     flags = state.format.flags(datagram)
     if flags & _BOUNCED:
-        return _take_bounce(state, datagram)
+        return _take_bounce(state, datagram, event.now)
     now = event.now
     key = state.format.upstream_key(datagram)
     flow = state.flows.get(key)
@@ -176,9 +209,10 @@
     owned = _tell_owned(state, key, flow)
     if not flow.is_registered and key in state.flows:
         owned = (*owned, *register(state, key, flow, now))
+    settled = end_waiting(state, key, flags, now)
     answered = _note_answer(state, key, flow, datagram, now)
     released = release_held(state, now) if state.held else ()
-    return (SendToCaller(datagram), *owned, *answered, *released)
+    return (SendToCaller(datagram), *owned, *settled, *answered, *released)
 
 
 def _tell_owned(state: AgentState, key: bytes, flow: Flow) -> Effects:
@@ -211,7 +245,11 @@
     return answered
 
 
-def _take_bounce(state: AgentState, datagram: bytes) -> Effects:
+def _take_bounce(
+    state: AgentState,
+    datagram: bytes,
+    now: float,
+) -> Effects:
     """Give a packet that the upstream did not take back to its balancer."""
     host, hop, kind = state.balancers.read_mark(state.format.mark(datagram))
     packet = state.format.without_bounce(datagram)
@@ -220,6 +258,8 @@
     lost: Effects = ()
     if flow is not None and flow.asked_by is None:
         lost = tell_unanswered(state, key, flow, 'bounced')
+    # The upstream gives back what waits on this flow, too.
+    lost = (*lost, *pass_waiting(state, key, now))
     state.forget(key)
     if host is None:
         return (Decided('drop_bounce_unknown_mark'),)
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
@@ -0,0 +1,31 @@
+"""Default values of the order of requests, each with its reason."""
+
+from typing import Final
+
+__all__ = (
+    'OVERDUE_ANSWERS',
+    'OVERDUE_SECONDS',
+    'PASSED_OVER',
+    'PRIORITIES_COUNTED',
+    'STARVED_SECONDS',
+)
+
+#: A request at work for so many mean times to an answer, and at least so
+#: many seconds, no longer counts against the room of its upstream: it may
+#: never be answered, and its place stands empty then.  If it is only long,
+#: one more request waits at the upstream rather than here.
+OVERDUE_ANSWERS: Final = 6
+OVERDUE_SECONDS: Final = 0.3
+
+#: Whoever waits longer than this may go before a higher priority; most aims
+#: are shorter, so what it still gets is an answer that is late, not none.
+STARVED_SECONDS: Final = 0.5
+
+#: Of the requests that are passed on while such a one waits, each of this
+#: number is the one that waits longest.  3 % of the upstream are what higher
+#: priorities give for that lower ones are served at all; an eighth made
+#: several times as many late when the load came near to what can be done.
+PASSED_OVER: Final = 32
+
+#: Waits are counted by priority up to this one; lower ones count together.
+PRIORITIES_COUNTED: Final = 3
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
@@ -0,0 +1,47 @@
+"""What is known of the requests of a flow before they come."""
+
+from typing import Final, NamedTuple
+
+from keelgap.packets.envelopes import Envelope
+
+__all__ = ('RouteTerms', 'read_opening', 'read_packet')
+
+_MILLISECONDS: Final = 1000
+
+
+class RouteTerms(NamedTuple):
+    """What the route of a flow says of each request."""
+
+    #: 0 goes first.
+    priority: int
+    #: Seconds within which an answer is in time.
+    aim: float
+    #: Seconds after which a caller no longer waits; infinite if not known.
+    patience: float
+
+
+def read_opening(envelope: Envelope) -> RouteTerms:
+    """Return what the envelope of an opening packet says of its route.
+
+    It tells what is left of both spans to this caller, and its age.
+    """
+    wait = envelope.wait
+    return RouteTerms(
+        envelope.priority,
+        (envelope.left_ms + wait.age_ms) / _MILLISECONDS,
+        (wait.patience_ms + wait.age_ms) / _MILLISECONDS,
+    )
+
+
+def read_packet(envelope: Envelope) -> RouteTerms | None:
+    """Return what the envelope of a later packet says of its route.
+
+    A balancer that does not know, or of an earlier release, says nothing.
+    """
+    if envelope.left_ms <= 0:
+        return None
+    return RouteTerms(
+        envelope.priority,
+        envelope.left_ms / _MILLISECONDS,
+        float('inf'),
+    )
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -162,6 +162,9 @@
             'flows': len(state.flows),
             'busy_requests': state.busy,
             'waiting_flows': len(state.held),
+            'waiting_later_requests': sum(
+                held.is_later for held in state.held.values()
+            ),
             'balancers_heard': len(state.balancers.greeted),
             'directory_nodes': len(state.registrar.streams),
             'directory_flows': len(state.directory.holders),
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -1,5 +1,6 @@
 """State of a packet agent; its reducer alone changes it, in place."""
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from keelgap.catalog.defaults import ENTRY_RETURN_SECONDS
@@ -24,6 +25,8 @@
 from keelgap_agent.packets.directory_state import Directory
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.scheduling.terms import RouteTerms
+from keelgap_agent.packets.scheduling.work import Workload
 
 __all__ = (
     'AgentState',
@@ -66,6 +69,7 @@
         'is_registered',
         'requests',
         'seen',
+        'terms',
     )
 
     def __init__(self, now: float) -> None:
@@ -86,12 +90,34 @@
         self.asked_by: str | None = None
         #: Whether the directory of the service was told of it.
         self.is_registered = False
+        #: What its route says of later requests, if this process knows.
+        self.terms: RouteTerms | None = None
+
+    def is_ahead(self, sequence: int) -> bool:
+        """Return whether data with this number was not seen before."""
+        latest = self.caller_sequence
+        if latest is None:
+            return True
+        return 0 < (sequence - latest) % _SEQUENCE_NUMBERS < _HALF
+
+    def sort(self, sequences: Iterable[int]) -> list[int]:
+        """Return numbers of data in the order in which it was written."""
+        latest = self.caller_sequence
+        if latest is None:
+            return sorted(sequences)
+        return sorted(
+            sequences,
+            key=lambda sequence: (sequence - latest) % _SEQUENCE_NUMBERS,
+        )
 
 
 class Held(NamedTuple):
-    """A new flow whose request waits until the upstream has room."""
+    """A request that waits until the upstream has room.
+
+    The first of a new flow, from its opening packet on, or a later one.
+    """
 
-    #: When its opening packet came.
+    #: When its opening packet came, or the first of a later request.
     came: float
     #: 0 goes first.
     priority: int
@@ -105,6 +131,8 @@
     is_from_outage: bool
     #: Packets of the request so far, by the number of their first octet.
     packets: dict[int, EnvelopeArrived]
+    #: Whether earlier requests of its flow were passed on.
+    is_later: bool = False
 
     def rank(self, now: float, answer: float) -> tuple[int, int, float]:
         """Return the place in the queue; the highest goes first.
@@ -233,8 +261,9 @@
         self.is_evacuated = False
         #: Revision of the catalog that says so, or that it is in service.
         self.zone_revision = 0
-        self.busy = 0
-        #: New flows whose request waits for room or has not come, by key.
+        self.work = Workload()
+        #: Requests that wait for room, and new flows whose first request has
+        #: not come, by key.
         self.held: dict[bytes, Held] = {}
         self.slots = defaults.FIRST_SLOTS
         self.answer_seconds: float = 0
@@ -306,6 +335,11 @@
         mark = self.balancers.make_mark(host, envelope.hop, envelope.kind)
         return SendToUpstream(self.format.with_mark(envelope.content, mark))
 
+    @property
+    def busy(self) -> int:
+        """Return how many requests are at work at the upstream."""
+        return len(self.work.flows)
+
     @property
     def has_room(self) -> bool:
         """Return whether the upstream can start on another request."""
@@ -322,11 +356,8 @@
 
         Copies of earlier data are no new work.
         """
-        latest = flow.caller_sequence
-        if latest is not None:
-            ahead = (sequence - latest) % _SEQUENCE_NUMBERS
-            if not 0 < ahead < _HALF:
-                return False
+        if not flow.is_ahead(sequence):
+            return False
         flow.caller_sequence = sequence
         if flow.ended:
             return False
@@ -337,7 +368,7 @@
         """Note data of a caller: the upstream has work."""
         if flow.busy_since is None:
             flow.busy_since = now
-            self.busy += 1
+            self.work.flows[flow] = None
 
     def end_request(self, flow: Flow, now: float) -> None:
         """Note data of the upstream: it answers."""
@@ -353,7 +384,7 @@
         """Note that the upstream does not work on a flow's request."""
         if flow.busy_since is not None:
             flow.busy_since = None
-            self.busy -= 1
+            self.work.flows.pop(flow, None)
 
     def forget(self, key: bytes) -> None:
         """Drop a flow."""
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/forwards.py
@@ -0,0 +1,34 @@
+"""Pass packets of open flows on to the agents that hold them."""
+
+from typing import Final
+
+from keelgap.packets.envelopes import EnvelopeKind
+from keelgap_balancer.packets.effects import SendToAgent
+from keelgap_balancer.packets.state import AgentView, PacketState
+
+__all__ = ('forward',)
+
+_MILLISECONDS: Final = 1000
+
+
+def forward(
+    state: PacketState,
+    owner: AgentView,
+    datagram: bytes,
+    hop: int = 0,
+) -> SendToAgent:
+    """Return the effect that passes a packet on, with its route's terms.
+
+    An agent that started after the flow knows them from here only.  0 says
+    nothing, so an aim is never less than a millisecond.
+    """
+    route = state.find_route(datagram) if state.features.scheduling else None
+    if route is None:
+        return owner.send(EnvelopeKind.FORWARD, datagram, hop)
+    return owner.send(
+        EnvelopeKind.FORWARD,
+        datagram,
+        hop,
+        route.priority,
+        max(round(route.aim_seconds * _MILLISECONDS), 1),
+    )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -26,6 +26,7 @@
     StoreSeen,
     TimerFired,
 )
+from keelgap_balancer.packets.forwards import forward
 from keelgap_balancer.packets.giving_up import expire_searches
 from keelgap_balancer.packets.greeting import greet_agents
 from keelgap_balancer.packets.membership import (
@@ -85,7 +86,7 @@
     state.ages.note_opened(key)
     owner = state.owners.get(key)
     if owner is not None and not _is_lost(owner, now):
-        return (owner.send(EnvelopeKind.FORWARD, datagram),)
+        return (forward(state, owner, datagram),)
     state.owners.forget(key)
     route = state.find_route(datagram)
     if route is None:
@@ -103,13 +104,16 @@
     return now - owner.last_heard > defaults.GONE_SECONDS
 
 
-def _forward_again(owner: AgentView, event: EnvelopeArrived) -> Effects:
+def _forward_again(
+    state: PacketState,
+    owner: AgentView,
+    event: EnvelopeArrived,
+) -> Effects:
     """Pass on a packet that another agent denied, but not for ever."""
     hop = event.envelope.hop + 1
     if hop > defaults.MAX_HOPS:
         return (Decided('drop_too_many_hops'),)
-    content = event.envelope.content
-    return (owner.send(EnvelopeKind.FORWARD, content, hop),)
+    return (forward(state, owner, event.envelope.content, hop),)
 
 
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
@@ -209,7 +213,7 @@
     is_opening = state.format.flags(datagram) & _SYN
     if owner is not None:
         # Another choice stands; a second one would lose the first's answer.
-        return () if is_opening else _forward_again(owner, event)
+        return () if is_opening else _forward_again(state, owner, event)
     if is_opening:
         hop = event.envelope.hop + 1
         opening = Opening(key, route, datagram, event.now, hop)
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -20,6 +20,7 @@
 
 from keelgap.catalog.models import PacketRoute, PacketUpstream
 from keelgap.packets.envelopes import Envelope, Stamp
+from keelgap.packets.features import NO_FEATURES, Features
 from keelgap_agent.packets import defaults as agent_defaults
 from keelgap_agent.packets import effects as agent_effects
 from keelgap_agent.packets import events as agent_events
@@ -104,6 +105,8 @@
     warm_up: float = 0
     #: Far more than a packet needs that visits every agent once.
     most_deliveries = 2000
+    #: Optional decisions of all programs.
+    features: Features = NO_FEATURES
 
     @initialize()
     def start(self) -> None:
@@ -146,7 +149,7 @@
         upstream = self._get_upstream(number)
         host = upstream.row.address.host
         service = upstream.row.service
-        self.agents[host] = AgentState(FORMAT, service, self.now, host)
+        self.agents[host] = self._make_agent(service, host)
 
     @rule(host=st.sampled_from(BALANCERS))
     def restart_balancer(self, host: str) -> None:
@@ -439,7 +442,7 @@
         self.upstreams[host] = FakeUpstream(later)
         same_service = former and former.row.service == later.service
         if not (keeps_agent and same_service):
-            agent = AgentState(FORMAT, later.service, self.now, host)
+            agent = self._make_agent(later.service, host)
             self.agents[host] = agent
         self.listed[later.upstream_id] = later
 
@@ -494,8 +497,17 @@
     def _is_half_open(self, key: bytes) -> bool:
         return any(key in one.half_open for one in self.upstreams.values())
 
+    def _make_agent(self, service: str, host: str) -> AgentState:
+        return AgentState(
+            FORMAT,
+            service,
+            self.now,
+            host,
+            features=self.features,
+        )
+
     def _make_balancer(self) -> PacketState:
-        return PacketState(FORMAT, 'a', self.now)
+        return PacketState(FORMAT, 'a', self.now, self.features)
 
     def _send(self, host: str, packet: bytes) -> None:
         event = balancer_events.CallerPacket(self.now, packet)
--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -5,7 +5,7 @@
 
 from keelgap_agent.packets import admission
 from keelgap_agent.packets import reducer as agent_reducer
-from keelgap_agent.packets.state import AgentState
+from keelgap_agent.packets.state import AgentState, Flow
 from keelgap_balancer.packets import membership, search, verdicts
 from keelgap_balancer.packets import reducer as balancer_reducer
 from keelgap_balancer.packets.state import PacketState
@@ -54,7 +54,7 @@
 
 def count_twice(state: Any, key: bytes, now: float) -> Any:
     """Stand in for an agent that counts a request twice."""
-    state.busy += 1
+    state.work.flows[Flow(now)] = None
     return release(state, key, now)
 
 
