--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -209,10 +209,11 @@
     owned = _tell_owned(state, key, flow)
     if not flow.is_registered and key in state.flows:
         owned = (*owned, *register(state, key, flow, now))
-    settled = end_waiting(state, key, flags, now)
     answered = _note_answer(state, key, flow, datagram, now)
+    # After the end of the flow is noted: what is passed on is no work.
+    settled = end_waiting(state, key, flags, now)
     released = release_held(state, now) if state.held else ()
-    return (SendToCaller(datagram), *owned, *settled, *answered, *released)
+    return (SendToCaller(datagram), *owned, *answered, *settled, *released)
 
 
 def _tell_owned(state: AgentState, key: bytes, flow: Flow) -> Effects:
--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -294,10 +294,12 @@
 
     def test_upstream_that_closes_answers_itself(self) -> None:
         """It resets what comes after its FIN; we do not."""
+        usual = self.state.answer_seconds
         passed = self.serve(STREAMING, FIN | ACK)
         self.assertEqual(self.list_passed(passed), [(STREAMING, 2)])
         self.assertEqual(self.state.held, {})
         self.assertEqual(self.state.busy, ROOM)
+        self.assertEqual(self.state.answer_seconds, usual)
 
     def test_flow_that_the_upstream_reset_is_over(self) -> None:
         """Its caller hears that, and does not wait."""
