--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
@@ -28,6 +28,7 @@
 from keelgap_balancer.packets.state import AgentView, NodeView, PacketState
 
 __all__ = (
+    'ask_waiting',
     'change_directories',
     'look_up',
     'take_answer',
@@ -93,7 +94,7 @@
     is_busy = asked_at is not None and (
         now - asked_at < defaults.LOOKUP_SECONDS
     )
-    return () if is_busy else _send_waiting(state, host, node, now)
+    return () if is_busy else ask_waiting(state, host, node, now)
 
 
 def take_answer(
@@ -104,7 +105,8 @@
     lookup = unpack_lookup(event.envelope.content)
     node = state.nodes.setdefault(event.sender, NodeView())
     node.asked_at = None
-    return lookup, _send_waiting(state, event.sender, node, event.now)
+    node.is_asked_again = False
+    return lookup, ask_waiting(state, event.sender, node, event.now)
 
 
 def take_coverage(state: PacketState, event: EnvelopeArrived) -> bool:
@@ -145,12 +147,13 @@
     return tuple(effects)
 
 
-def _send_waiting(
+def ask_waiting(
     state: PacketState,
     host: str,
     node: NodeView,
     now: float,
 ) -> Effects:
+    """Ask a node for the flows that wait for it."""
     keys = tuple(islice(node.waiting, MAX_KEYS))
     view = state.by_host.get(host)
     if view is None or not keys:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -50,7 +50,11 @@
 )
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
 from keelgap_balancer.packets.verdicts import serves_route
-from keelgap_balancer.packets.waiting import resume_kept, resume_parked
+from keelgap_balancer.packets.waiting import (
+    look_up_again,
+    resume_kept,
+    resume_parked,
+)
 
 __all__ = ('reduce',)
 
@@ -123,6 +127,15 @@
         return (Decided('drop_unknown_sender'),)
     view.note_heard(event.now)
     state.note_stamp(event.stamp)
+    taken = _take_known(state, event, view)
+    return (*taken, *look_up_again(state, view.host, event.now))
+
+
+def _take_known(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
     handler = _ENVELOPE_HANDLERS.get(event.envelope.kind)
     if handler is None:
         return (Decided('drop_unexpected_kind'),)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -267,6 +267,10 @@
         """Return whether nobody is to be asked before something changes."""
         return self.parked is not None or self.kept_since is not None
 
+    def lacks_answer(self, node: str) -> bool:
+        """Return whether a directory node was asked and did not answer."""
+        return node in self.tried and node not in self.denied
+
     def end_wait(self, now: float) -> None:
         """Go on to ask, for as long as a new search would."""
         self.parked = None
@@ -277,7 +281,14 @@
 class NodeView:
     """What this balancer knows of one node of a flow directory."""
 
-    __slots__ = ('asked_at', 'covered', 'digest', 'parts', 'waiting')
+    __slots__ = (
+        'asked_at',
+        'covered',
+        'digest',
+        'is_asked_again',
+        'parts',
+        'waiting',
+    )
 
     def __init__(self) -> None:
         """Start as a node that was never asked."""
@@ -285,6 +296,8 @@
         self.waiting: dict[bytes, None] = {}
         #: When it was asked for flows and has not answered.
         self.asked_at: float | None = None
+        #: Whether it was asked again when it was heard and had not answered.
+        self.is_asked_again = False
         #: Digest of the hosts in ``covered``.
         self.digest = 0
         #: Hosts whose flows it knows completely.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
@@ -1,4 +1,4 @@
-"""Searches whose verdict waits for the store.
+"""Searches that wait for the store, or for a directory node to start.
 
 Either others know of changes that are not known here, or entries of living
 upstreams may have lapsed while the store was away.  The search is kept as long
@@ -6,11 +6,13 @@
 later, and may have no time left by then.
 """
 
+from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.directories import ask_waiting
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.search import go_on
 from keelgap_balancer.packets.state import PacketState, Search
 
-__all__ = ('resume_kept', 'resume_parked')
+__all__ = ('look_up_again', 'resume_kept', 'resume_parked')
 
 Effects = tuple[PacketEffect, ...]
 
@@ -50,3 +52,23 @@
         state.nodes[host].digest == digest
         for host, digest in search.denied.items()
     )
+
+
+def look_up_again(state: PacketState, host: str, now: float) -> Effects:
+    """Ask a directory node again that speaks, but owes an answer.
+
+    It started after the question, which nobody took.  Once: one that speaks
+    and never answers must not hold searches back.
+    """
+    node = state.nodes.get(host)
+    if node is None or node.asked_at is None or node.is_asked_again:
+        return ()
+    if now - node.asked_at < defaults.SEARCH_STEP_SECONDS:
+        return ()
+    for key, search in state.searches.items():
+        if search.pending is None and search.lacks_answer(host):
+            search.lookups.add(host)
+            search.pending_since = now
+            node.waiting[key] = None
+    node.is_asked_again = True
+    return ask_waiting(state, host, node, now)
