--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -15,7 +15,7 @@
 
 from typing import Final
 
-from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.envelopes import OPENING_KINDS, EnvelopeKind
 from keelgap.packets.formats import ENDS_FLOW
 from keelgap.packets.openings import OPENING_SECONDS
 from keelgap_agent.packets import defaults
@@ -25,6 +25,9 @@
 )
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.notices import ask_for_notice
+from keelgap_agent.packets.outcomes.giving_up import give_up_ready
+from keelgap_agent.packets.outcomes.judging import note_opening, note_work
+from keelgap_agent.packets.outcomes.refusing import refuse_ejected
 from keelgap_agent.packets.refusals import find_refusal
 from keelgap_agent.packets.registration import register
 from keelgap_agent.packets.request_log import note_request
@@ -60,7 +63,7 @@
     envelope = event.envelope
     if envelope.slots:
         state.slots = envelope.slots
-    refusal = find_refusal(state, now)
+    refusal = find_refusal(state, now) or refuse_ejected(state, key, event)
     if refusal is not None:
         return _give_back(state, event, refusal)
     flow = Flow(now)
@@ -68,6 +71,7 @@
         flow.terms = read_opening(envelope)
     state.flows[key] = flow
     state.held[key] = _make_held(state, event)
+    note_opening(state, key, event)
     state.cold.note_passed(now)
     passed = state.pass_on(event.sender, envelope)
     told = (*register(state, key, flow, now), *ask_for_notice(state, event))
@@ -82,7 +86,7 @@
     """Take a packet of a flow whose first request has not been passed on."""
     envelope = event.envelope
     datagram = envelope.content
-    if envelope.kind == EnvelopeKind.OPEN:
+    if envelope.kind in OPENING_KINDS:
         return (state.pass_on(event.sender, envelope),)
     owned: Effects = ()
     if envelope.kind == EnvelopeKind.SEARCH:
@@ -98,6 +102,9 @@
     is_first = not held.packets
     if len(held.packets) < defaults.MAX_HELD_PACKETS:
         held.packets[state.format.sequence(datagram)] = event
+    given_up = give_up_ready(state, key, event.now)
+    if given_up:
+        return (*owned, *given_up)
     released = release_held(state, event.now)
     if is_first and key in state.held:
         fields = _describe(state, key, held, event.now)
@@ -139,6 +146,7 @@
         event = held.packets[sequence]
         datagram = event.envelope.content
         state.note_data(flow, sequence, now)
+        note_work(state, key, flow, datagram, now)
         effects.append(state.pass_on(event.sender, event.envelope))
         effects.extend(note_request(state, key, flow, datagram, now))
     return (*effects, *observe_wait(state, held, now))
--- a/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
@@ -31,7 +31,10 @@
         return ()
     notice = unpack_notice(event.envelope.content)
     was_complete = state.registrar.is_complete
+    tag = state.registrar.upstream_tag
     note_upstream(state, notice)
+    if tag and state.registrar.upstream_tag != tag:
+        state.judge_anew(event.now)
     effects = _change_zone(state, notice, event.sender)
     if state.registrar.is_complete and not was_complete:
         effects = (*effects, *tell_complete(state, event.now))
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -0,0 +1,118 @@
+"""Give flows up that wait for an upstream which fails.
+
+None of them is open: no packet behind the opening one has reached the
+upstream, nor will one.  Where the upstream has not answered the opening
+packet, that goes back to the balancer.  Otherwise the caller holds the
+upstream's answer, and is told by a reset that it may ask again; but only if
+its first data acknowledge this upstream, for it may have chosen another one.
+"""
+
+from keelgap.packets.envelopes import OPENING_KINDS
+from keelgap.packets.formats import ENDS_FLOW
+from keelgap_agent.packets.effects import (
+    AgentEffect,
+    Decided,
+    SendToCaller,
+)
+from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.outcomes.acknowledging import (
+    acknowledges_upstream,
+)
+from keelgap_agent.packets.state import AgentState
+
+__all__ = (
+    'answer_given_up',
+    'drop_given_up',
+    'give_back_opening',
+    'give_up_all',
+    'give_up_ready',
+)
+
+Effects = tuple[AgentEffect, ...]
+
+
+def give_up_all(state: AgentState, now: float) -> Effects:
+    """Give up what waits, when the upstream is ejected."""
+    effects: list[AgentEffect] = []
+    for key in tuple(state.held):
+        if state.outcomes.ejection.is_taken(key):
+            continue
+        if key in state.outcomes.unopened:
+            effects.extend(give_back_opening(state, key, now))
+        else:
+            effects.extend(give_up_ready(state, key, now))
+    return tuple(effects)
+
+
+def give_back_opening(state: AgentState, key: bytes, now: float) -> Effects:
+    """Give a flow back whose opening packet the upstream did not answer."""
+    event = state.outcomes.unopened[key]
+    fields = _describe(state, key, now - event.now)
+    _forget(state, key, now, is_reset=False)
+    miss = state.give_back(event.sender, event.envelope)
+    return miss, Decided('miss_unopened', fields)
+
+
+def give_up_ready(state: AgentState, key: bytes, now: float) -> Effects:
+    """Reset a flow whose request came, while the upstream is ejected."""
+    ejection = state.outcomes.ejection
+    held = state.held[key]
+    if not ejection.is_out or ejection.is_taken(key) or not held.packets:
+        return ()
+    datagram = next(iter(held.packets.values())).envelope.content
+    if not acknowledges_upstream(state, state.flows[key], datagram):
+        return ()
+    fields = _describe(state, key, now - held.came)
+    _forget(state, key, now, is_reset=True)
+    reset = SendToCaller(state.format.make_reset(datagram))
+    return reset, Decided('reset_ejected', fields)
+
+
+def answer_given_up(
+    state: AgentState,
+    key: bytes,
+    event: EnvelopeArrived,
+) -> Effects:
+    """Answer a later packet of a flow that was given up.
+
+    It must not reach the upstream: the request may run elsewhere by now.
+    """
+    envelope = event.envelope
+    datagram = envelope.content
+    if not state.outcomes.given_up[key].is_reset:
+        miss = state.give_back(event.sender, envelope)
+        return miss, Decided('miss_given_up')
+    is_over = state.format.flags(datagram) & ENDS_FLOW
+    if is_over or envelope.kind in OPENING_KINDS:
+        return (Decided('drop_given_up'),)
+    reset = SendToCaller(state.format.make_reset(datagram))
+    return reset, Decided('reset_given_up')
+
+
+def drop_given_up() -> Effects:
+    """Drop what the upstream says on a flow that was given up."""
+    return (Decided('drop_given_up'),)
+
+
+def _forget(
+    state: AgentState,
+    key: bytes,
+    now: float,
+    *,
+    is_reset: bool,
+) -> None:
+    state.forget(key)
+    state.outcomes.give_up(key, now, is_reset=is_reset)
+
+
+def _describe(
+    state: AgentState,
+    key: bytes,
+    waited: float,
+) -> dict[str, object]:
+    return {
+        'flow': state.format.describe_key(key),
+        'waited': round(waited, 3),
+        'busy': state.busy,
+        'waiting': len(state.held),
+    }
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/refusing.py
@@ -0,0 +1,34 @@
+"""Which new flows an ejected upstream still gets."""
+
+from keelgap.packets.envelopes import EnvelopeKind
+from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.outcomes import defaults
+from keelgap_agent.packets.state import AgentState
+
+__all__ = ('refuse_ejected',)
+
+
+def refuse_ejected(
+    state: AgentState,
+    key: bytes,
+    event: EnvelopeArrived,
+) -> str | None:
+    """Return why an ejected upstream does not get a flow; None if it does.
+
+    It gets trials, and those that others gave back: if most upstreams fail,
+    none is ejected.
+    """
+    outcomes = state.outcomes
+    ejection = outcomes.ejection
+    if not ejection.is_out:
+        return None
+    envelope = event.envelope
+    is_trial = envelope.kind == EnvelopeKind.TRY
+    if ejection.take(key, event.now, is_trial=is_trial):
+        outcomes.has_news = True
+        return None
+    if envelope.hop >= defaults.FORCED_HOP:
+        ejection.forced.add(key)
+        return None
+    outcomes.untold.add(event.sender)
+    return 'miss_ejected'
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/telling.py
@@ -0,0 +1,33 @@
+"""Tell balancers of a change at once."""
+
+from keelgap.packets.envelopes import EnvelopeKind, pack_report
+from keelgap_agent.packets.effects import AgentEffect, SendToPeer
+from keelgap_agent.packets.state import AgentState
+
+__all__ = ('make_report_to', 'tell_news')
+
+Effects = tuple[AgentEffect, ...]
+
+
+def make_report_to(state: AgentState, host: str) -> SendToPeer:
+    """Return a report in the form that a balancer reads."""
+    report_format = state.balancers.report_formats.get(host, 0)
+    content = pack_report(state.make_report(), report_format)
+    return state.send(host, EnvelopeKind.REPORT, content)
+
+
+def tell_news(state: AgentState, effects: Effects) -> Effects:
+    """Put reports of a changed judgement before all else that is sent.
+
+    A balancer that gets a flow back knows then why, and offers no other one.
+    """
+    outcomes = state.outcomes
+    if not outcomes.has_news and not outcomes.untold:
+        return effects
+    hosts = outcomes.untold
+    if outcomes.has_news:
+        hosts = hosts | state.balancers.greeted.keys()
+    outcomes.has_news = False
+    outcomes.untold = set()
+    reports = tuple(make_report_to(state, host) for host in sorted(hosts))
+    return (*reports, *effects)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -5,8 +5,8 @@
 from typing import Any, Final
 
 from keelgap.packets.envelopes import (
+    OPENING_KINDS,
     EnvelopeKind,
-    pack_report,
 )
 from keelgap.packets.exceptions import MalformedEnvelope
 from keelgap.packets.formats import ENDS_FLOW, Flags
@@ -27,7 +27,6 @@
     AgentEffect,
     Decided,
     SendToCaller,
-    SendToPeer,
 )
 from keelgap_agent.packets.events import (
     AgentEvent,
@@ -37,6 +36,18 @@
     UpstreamPacket,
 )
 from keelgap_agent.packets.notices import take_notice
+from keelgap_agent.packets.outcomes.giving_up import (
+    answer_given_up,
+    drop_given_up,
+)
+from keelgap_agent.packets.outcomes.judging import (
+    judge_answer,
+    judge_bounce,
+    judge_silence,
+    note_upstream_packet,
+    note_work,
+)
+from keelgap_agent.packets.outcomes.telling import make_report_to, tell_news
 from keelgap_agent.packets.registration import (
     keep_registered,
     register,
@@ -70,7 +81,8 @@
     event: AgentEvent,
 ) -> tuple[AgentState, Effects]:
     """Return the state after an event and what the driver must do."""
-    return state, _HANDLERS[type(event)](state, event)
+    effects = _HANDLERS[type(event)](state, event)
+    return state, tell_news(state, effects)
 
 
 def _take_envelope(state: AgentState, event: EnvelopeArrived) -> Effects:
@@ -94,13 +106,7 @@
     """Take what this balancer says, and report to it once."""
     state.balancers.report_formats[event.sender] = event.envelope.hop
     taken = take_notice(state, event)
-    return (_report(state, event.sender), *taken)
-
-
-def _report(state: AgentState, host: str) -> SendToPeer:
-    report_format = state.balancers.report_formats.get(host, 0)
-    content = pack_report(state.make_report(), report_format)
-    return state.send(host, EnvelopeKind.REPORT, content)
+    return (make_report_to(state, event.sender), *taken)
 
 
 def _take_packet(state: AgentState, event: EnvelopeArrived) -> Effects:
@@ -115,18 +121,11 @@
             Decided('miss_other_service'),
         )
     key = state.format.caller_key(datagram)
-    flow = state.flows.get(key)
-    if flow is None:
-        if envelope.kind == EnvelopeKind.OPEN:
-            return take_opening(state, key, event)
-        # The upstream knows best whether it holds a flow that is open.
-        flow = Flow(event.now)
-        if len(state.flows) >= defaults.MAX_FLOWS:
-            return (
-                state.pass_on(event.sender, envelope),
-                Decided('flow_table_full'),
-            )
-        state.flows[key] = flow
+    if key not in state.flows:
+        taken = _take_unseen(state, key, event)
+        if taken is not None:
+            return taken
+    flow = state.flows[key]
     flow.seen = event.now
     take = _choose_queue(state, key, flow, event)
     if take is not None:
@@ -170,6 +169,27 @@
     return (passed, *owned, *began, *released)
 
 
+def _take_unseen(
+    state: AgentState,
+    key: bytes,
+    event: EnvelopeArrived,
+) -> Effects | None:
+    """Take a packet of no known flow; return None if it may be open.
+
+    The upstream knows best whether it holds a flow that is open.
+    """
+    envelope = event.envelope
+    if key in state.outcomes.given_up:
+        return answer_given_up(state, key, event)
+    if envelope.kind in OPENING_KINDS:
+        return take_opening(state, key, event)
+    if len(state.flows) >= defaults.MAX_FLOWS:
+        passed = state.pass_on(event.sender, envelope)
+        return passed, Decided('flow_table_full')
+    state.flows[key] = Flow(event.now)
+    return None
+
+
 def _note_caller_packet(
     state: AgentState,
     key: bytes,
@@ -181,9 +201,11 @@
         # A caller that left waits for no answer, and upstreams stop then.
         flow.ended = True
         state.cancel_request(flow)
+        state.outcomes.ejection.forget(key)
     if state.format.data_length(datagram):
         sequence = state.format.sequence(datagram)
         if state.note_data(flow, sequence, now):
+            note_work(state, key, flow, datagram, now)
             return note_request(state, key, flow, datagram, now)
     return ()
 
@@ -198,6 +220,8 @@
         return _take_bounce(state, datagram, event.now)
     now = event.now
     key = state.format.upstream_key(datagram)
+    if key in state.outcomes.given_up:
+        return drop_given_up()
     flow = state.flows.get(key)
     if flow is None:
         # This process is younger than the flow.
@@ -206,6 +230,7 @@
             state.flows[key] = flow
     flow.seen = now
     flow.confirmed = True
+    note_upstream_packet(state, key, flow, datagram)
     owned = _tell_owned(state, key, flow)
     if not flow.is_registered and key in state.flows:
         owned = (*owned, *register(state, key, flow, now))
@@ -234,6 +259,7 @@
     now: float,
 ) -> Effects:
     answered: Effects = ()
+    judged = judge_answer(state, key, flow, datagram, now)
     flags = state.format.flags(datagram)
     if state.format.data_length(datagram):
         state.end_request(flow, now)
@@ -243,29 +269,28 @@
         state.end_request(flow, now)
         if flags & _RST:
             answered = (*answered, *tell_unanswered(state, key, flow, 'reset'))
-    return answered
+    return (*answered, *judged)
 
 
-def _take_bounce(
-    state: AgentState,
-    datagram: bytes,
-    now: float,
-) -> Effects:
+def _take_bounce(state: AgentState, datagram: bytes, now: float) -> Effects:
     """Give a packet that the upstream did not take back to its balancer."""
     host, hop, kind = state.balancers.read_mark(state.format.mark(datagram))
     packet = state.format.without_bounce(datagram)
     key = state.format.caller_key(packet)
+    if key in state.outcomes.given_up:
+        return drop_given_up()
     flow = state.flows.get(key)
     lost: Effects = ()
     if flow is not None and flow.asked_by is None:
         lost = tell_unanswered(state, key, flow, 'bounced')
+        lost = (*lost, *judge_bounce(state, key, flow, packet, now))
     # The upstream gives back what waits on this flow, too.
     lost = (*lost, *pass_waiting(state, key, now))
     state.forget(key)
     if host is None:
         return (Decided('drop_bounce_unknown_mark'),)
     bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
-    if kind == EnvelopeKind.OPEN:
+    if kind in OPENING_KINDS:
         fields = {
             'flow': state.format.describe_key(key),
             'hop': hop,
@@ -279,11 +304,12 @@
 
 def _handle_timer(state: AgentState, event: TimerFired) -> Effects:
     now = event.now
+    judged = judge_silence(state, now)
     if now - state.swept_at >= defaults.SWEEP_SECONDS:
         state.swept_at = now
         state.directory.expire(now)
-        return (*_sweep(state, now), *_update(state, now))
-    return _update(state, now)
+        judged = (*judged, *_sweep(state, now))
+    return (*judged, *_update(state, now))
 
 
 def _update(state: AgentState, now: float) -> Effects:
@@ -312,7 +338,7 @@
     ]
     for gone in silent:
         greeted.pop(gone)
-    effects = tuple(_report(state, receiver) for receiver in greeted)
+    effects = tuple(make_report_to(state, receiver) for receiver in greeted)
     state.balancers.owed.difference_update(greeted)
     return (*effects, *_report_to_owed(state))
 
@@ -323,7 +349,9 @@
     In a large fleet balancers greet few agents, and this is all they hear.
     """
     owed = state.balancers.owed
-    effects = tuple(_report(state, receiver) for receiver in sorted(owed))
+    effects = tuple(
+        make_report_to(state, receiver) for receiver in sorted(owed)
+    )
     owed.clear()
     return effects
 
@@ -370,6 +398,7 @@
     int(EnvelopeKind.HELLO): _greet,
     int(EnvelopeKind.FORWARD): _take_packet,
     int(EnvelopeKind.OPEN): _take_packet,
+    int(EnvelopeKind.TRY): _take_packet,
     int(EnvelopeKind.SEARCH): _take_packet,
     int(EnvelopeKind.REGISTER): take_registration,
     int(EnvelopeKind.RESYNC): resync,
--- a/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
@@ -23,7 +23,7 @@
     """Remember and log the id of a request that begins in a packet."""
     if len(flow.requests) >= defaults.MAX_SEEN_REQUESTS:
         return ()
-    request_id = state.find_request_id(datagram)
+    request_id = state.format.find_request_id(datagram)
     if request_id is None:
         return ()
     request = SeenRequest(request_id, now)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -170,6 +170,10 @@
             'directory_flows': len(state.directory.holders),
             'directory_agents': len(state.directory.members),
             'directory_covered': len(state.directory.covered),
+            'upstream_ejected': state.outcomes.ejection.is_out,
+            'upstream_score': state.outcomes.score.compute(self.loop.clock()),
+            'upstream_trials': len(state.outcomes.ejection.trials),
+            'silent_requests': len(state.outcomes.stuck),
             'zone_out_of_service': state.is_evacuated,
             'knows_all_flows': state.registrar.is_complete,
         }
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -25,6 +25,7 @@
 from keelgap_agent.packets.directory_state import Directory
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.outcomes.state import Outcomes, Work
 from keelgap_agent.packets.scheduling.terms import RouteTerms
 from keelgap_agent.packets.scheduling.work import Workload
 
@@ -67,9 +68,11 @@
         'confirmed',
         'ended',
         'is_registered',
+        'opened_with',
         'requests',
         'seen',
         'terms',
+        'work',
     )
 
     def __init__(self, now: float) -> None:
@@ -109,6 +112,10 @@
             sequences,
             key=lambda sequence: (sequence - latest) % _SEQUENCE_NUMBERS,
         )
+        #: Number of the upstream's opening packet, until it sends others.
+        self.opened_with: int | None = None
+        #: The request at work, if outcomes are judged.
+        self.work: Work | None = None
 
 
 class Held(NamedTuple):
@@ -249,7 +256,6 @@
         """Start without flows; ``own`` is the host of this agent."""
         self.format = packet_format
         self.features = features
-        self.find_request_id = packet_format.find_request_id
         self.read_status = packet_format.read_status
         self.service_tag = compute_service_tag(service)
         self.balancers = Balancers()
@@ -257,6 +263,7 @@
         self.registrar = Registrar(own, now)
         self.directory = Directory(now)
         self.cold = ColdBound(warm_up.excess, warm_up.slack, now)
+        self.outcomes = Outcomes(now)
         #: Whether the operators took the availability zone out of service.
         self.is_evacuated = False
         #: Revision of the catalog that says so, or that it is in service.
@@ -280,6 +287,15 @@
         self.reported: LoadReport | None = None
         self.reported_at = now
 
+    def judge_anew(self, now: float) -> None:
+        """Forget all outcomes: another upstream has started."""
+        for flow in self.flows.values():
+            flow.work = None
+        given_up = self.outcomes.given_up
+        self.outcomes = Outcomes(now)
+        self.outcomes.given_up = given_up
+        self.outcomes.has_news = self.features.ejection
+
     def change_service(self, service: str) -> None:
         """Take no packets of another service any more."""
         self.service_tag = compute_service_tag(service)
@@ -304,6 +320,8 @@
             flows=len(self.flows),
             answer_ms=int(self.answer_seconds * _MILLISECONDS),
             closed=self.stopping_since is not None or self.is_evacuated,
+            is_ejected=self.outcomes.ejection.is_out,
+            wants_trial=self.outcomes.ejection.wants_trial,
             waiting=len(self.held),
         )
 
@@ -343,7 +361,8 @@
     @property
     def has_room(self) -> bool:
         """Return whether the upstream can start on another request."""
-        return self.busy < self.slots + defaults.EXTRA_SLOTS
+        at_work = self.busy - self.outcomes.count_stuck()
+        return at_work < self.slots + defaults.EXTRA_SLOTS
 
     def note_opening(self, now: float) -> None:
         """Note an opening packet; the first ones may end an outage."""
@@ -385,10 +404,14 @@
         if flow.busy_since is not None:
             flow.busy_since = None
             self.work.flows.pop(flow, None)
+        if flow.work is not None:
+            self.outcomes.end(flow.work)
+            flow.work = None
 
     def forget(self, key: bytes) -> None:
         """Drop a flow."""
         self.held.pop(key, None)
+        self.outcomes.forget(key)
         flow = self.flows.pop(key, None)
         if flow is not None:
             self.cancel_request(flow)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -6,10 +6,12 @@
 from keelgap.packets import openings
 
 __all__ = (
+    'ANY_TRIAL_SECONDS',
     'DIRECTORY_SECONDS',
     'DRAINED_SECONDS',
     'FEWEST_WIDE_LINKS',
     'FAR_ASK_SECONDS',
+    'FAR_TRIAL_SECONDS',
     'FLOW_GENERATION_SECONDS',
     'FORMER_ROUTE_SECONDS',
     'GIVE_UP_SECONDS',
@@ -50,6 +52,8 @@
     'RESET_DOUBT_SECONDS',
     'RETRY_PAUSE_SECONDS',
     'RETRY_SECONDS',
+    'SERVING_SHARE',
+    'TRIAL_PAUSE_SECONDS',
     'ROUTERS_SECONDS',
     'SEARCH_SECONDS',
     'SEARCH_STEP_SECONDS',
@@ -256,6 +260,23 @@
 #: for so long.  A wide one that was restarted is back within two seconds.
 YIELD_SECONDS: Final = 2.0
 
+#: Ejected upstreams are left out while the others have this share of a
+#: service's slots.  Beyond it most requests would wait too long, and a cause
+#: that most upstreams share is not theirs.
+SERVING_SHARE: Final = 0.5
+
+#: Pause between flows that this balancer sends to one ejected upstream: its
+#: agent takes few at once, and a flow given back costs its caller a way.
+TRIAL_PAUSE_SECONDS: Final = 0.1
+
+#: Balancers of other availability zones send one after this: those near the
+#: upstream may get no request that can be repeated.
+FAR_TRIAL_SECONDS: Final = 1.0
+
+#: Any request is sent after this, where none that can be repeated came; not
+#: before agents take it.
+ANY_TRIAL_SECONDS: Final = 3.0
+
 #: Routers take a balancer out after two misses, half a second apart; one more
 #: half second for packets on their way.
 ROUTERS_SECONDS: Final = 1.6
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -3,13 +3,13 @@
 from typing import Final, NamedTuple
 
 from keelgap.catalog.models import PacketRoute
-from keelgap.packets.envelopes import EnvelopeKind
 from keelgap_balancer.packets.ages import make_wait
 from keelgap_balancer.packets.effects import (
     Decided,
     PacketEffect,
     SendReset,
 )
+from keelgap_balancer.packets.ejection import choose_kind, choose_trial
 from keelgap_balancer.packets.parking import park
 from keelgap_balancer.packets.placement import choose_service, choose_taker
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
@@ -70,7 +70,13 @@
     excluded: tuple[str, ...],
 ) -> Effects:
     key = opening.key
-    taker = choose_taker(state, opening.route, key, opening.now, excluded)
+    taker = _choose_trial(state, opening) or choose_taker(
+        state,
+        opening.route,
+        key,
+        opening.now,
+        excluded,
+    )
     if taker is None:
         return _refuse(state, opening)
     state.owners.put(key, taker)
@@ -78,6 +84,14 @@
     return _offer(state, taker, opening)
 
 
+def _choose_trial(state: PacketState, opening: Opening) -> AgentView | None:
+    """Return an ejected upstream that a flow tries, before any other."""
+    if opening.hop or not state.ejections.wanting:
+        return None
+    service = choose_service(opening.route, opening.key)
+    return choose_trial(state, opening.route, service, opening.now)
+
+
 def _refuse(state: PacketState, opening: Opening) -> Effects:
     """Reset a new flow that nobody takes; it has not run.
 
@@ -124,7 +138,7 @@
     left = route.aim_seconds - waited.on_request
     wait = make_wait(route, waited, is_first_try=not state.is_settling(now))
     offer = taker.send(
-        EnvelopeKind.OPEN,
+        choose_kind(state, taker, route),
         opening.datagram,
         opening.hop,
         route.priority,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -8,6 +8,7 @@
 
 from keelgap.catalog.models import PacketRoute
 from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.ejection import leave_out_ejected
 from keelgap_balancer.packets.state import AgentView, PacketState
 
 __all__ = ('choose_service', 'choose_taker')
@@ -64,6 +65,7 @@
         if view.host not in excluded and not state.is_evacuated(view)
     ]
     members = [view for view in others if view.is_open()]
+    members = leave_out_ejected(state, members)
     if not members:
         members = [view for view in others if view.may_return(now)]
     answering = [view for view in members if not view.is_quiet(now)]
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -17,6 +17,10 @@
     Observed,
     PacketEffect,
 )
+from keelgap_balancer.packets.ejection import (
+    forget_ejections,
+    note_ejection,
+)
 from keelgap_balancer.packets.events import (
     CallerPacket,
     CatalogChanged,
@@ -152,7 +156,7 @@
 ) -> Effects:
     view.report = unpack_report(event.envelope.content)
     view.picks = 0
-    return ()
+    return note_ejection(state, view, view.report, event.now)
 
 
 def _greet_agent(
@@ -279,6 +283,7 @@
     state.ages.expire(now)
     given_up = expire_searches(state, now)
     forget_gone(state, now)
+    forget_ejections(state)
     forget_former_routes(state, now)
     kept = () if state.is_newly_informed(now) else resume_kept(state, now)
     return (
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -246,6 +246,8 @@
             'upstreams': len(views),
             'zones_out_of_service': len(state.catalog.evacuated),
             'upstreams_out_of_service': sum(map(state.is_evacuated, views)),
+            'ejected_upstreams': len(state.ejections.out),
+            'upstreams_wanting_trial': len(state.ejections.wanting),
             'silent_agents': sum(view.is_quiet(now) for view in views),
             'known_flows': len(state.owners),
             'searches': len(state.searches),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -30,6 +30,7 @@
 
 __all__ = (
     'AgentView',
+    'Ejections',
     'FormerRoute',
     'GreetingRound',
     'NodeView',
@@ -57,6 +58,7 @@
         'report',
         'seed',
         'service_tag',
+        'tried_at',
         'upstream',
         'waiting_since',
         'warm_at',
@@ -74,6 +76,8 @@
         #: New flows sent there since its last report.
         self.picks = 0
         self.last_heard = float('-inf')
+        #: When a flow was sent as a trial last.
+        self.tried_at = float('-inf')
         #: Since when an answer is owed.
         self.waiting_since: float | None = None
         self.hello_at = now
@@ -309,15 +313,30 @@
 class GreetingRound:
     """Whom to greet next, where there are too many to greet at once."""
 
-    __slots__ = ('left', 'seed')
+    __slots__ = ('left', 'near_agents', 'seed')
 
     def __init__(self, now: float) -> None:
         """Start before the first round."""
         self.left: Iterator[AgentView] = iter(())
+        #: How many agents are in the own availability zone.
+        self.near_agents = 0
         #: Differs from balancer to balancer: none starts at the same moment.
         self.seed = int(now * _MICROSECONDS) % _SEEDS
 
 
+class Ejections:
+    """The upstreams that fail requests, as their agents say."""
+
+    __slots__ = ('out', 'wanting')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        #: Those that are ejected, and since when this is known.
+        self.out: dict[AgentView, float] = {}
+        #: Those among them that want to be tried, and since when.
+        self.wanting: dict[AgentView, float] = {}
+
+
 class PacketState:
     """All that a packet balancer holds."""
 
@@ -341,14 +360,13 @@
         #: By the agent's host; the latest upstream there.
         self.by_host: dict[str, AgentView] = {}
         self.by_service: dict[str, tuple[AgentView, ...]] = {}
-        #: How many agents are in the own availability zone.
-        self.near_agents = 0
         #: Those whose entry went.
         self.gone: set[UpstreamIdentity] = set()
         self.greeting = GreetingRound(now)
         self.owners = make_owners(now)
         self.ages = CallerAges()
         self.searches: dict[bytes, Search] = {}
+        self.ejections = Ejections()
         #: By service; of large services only.
         self.directories: dict[str, FlowDirectory] = {}
         #: By the directory node's host.
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -18,6 +18,7 @@
 __all__ = (
     'HEAD_LENGTH',
     'JUST_BEGUN',
+    'OPENING_KINDS',
     'NO_STAMP',
     'Envelope',
     'EnvelopeKind',
@@ -92,8 +93,8 @@
 
 
 _KINDS: Final = frozenset(int(kind) for kind in EnvelopeKind)
-#: Those that say how long a caller waits.
-_WAITING_KINDS: Final = frozenset((EnvelopeKind.OPEN, EnvelopeKind.TRY))
+#: Those with the first packet of a flow, that say how long a caller waits.
+OPENING_KINDS: Final = frozenset((EnvelopeKind.OPEN, EnvelopeKind.TRY))
 
 
 class CallerWait(NamedTuple):
@@ -187,7 +188,7 @@
         envelope.service_tag,
         *stamp,
     )
-    if envelope.kind in _WAITING_KINDS:
+    if envelope.kind in OPENING_KINDS:
         head += _WAIT.pack(*(max(min(ms, _MOST), 0) for ms in envelope.wait))
     return head + envelope.content
 
@@ -200,7 +201,7 @@
     stamp = Stamp(latest_change, may_lack_entries)
     start = HEAD_LENGTH
     wait = JUST_BEGUN
-    if datagram[0] in _WAITING_KINDS:
+    if datagram[0] in OPENING_KINDS:
         start += _WAIT.size
         if len(datagram) < start:
             raise MalformedEnvelope(len(datagram))
--- a/packages/keelgap/src/keelgap/packets/formats.py
+++ b/packages/keelgap/src/keelgap/packets/formats.py
@@ -58,6 +58,8 @@
     sequence: Callable[[bytes], int]
     #: How often the caller has sent this opening packet before.
     copies: Callable[[bytes], int]
+    #: Number of the next octet that a caller expects of its upstream.
+    acknowledged: Callable[[bytes], int]
     #: IPv4 address of the caller in a packet that the upstream sent.
     destination_host: Callable[[bytes], str]
     #: IPv4 address of the caller in a packet that the caller sent.
@@ -72,8 +74,10 @@
     make_reset: Callable[[bytes], bytes]
     #: Id of the request that begins in a caller's packet, for logs only.
     find_request_id: Callable[[bytes], str | None]
-    #: Status of the answer that begins in an upstream's packet, or 0; for
-    #: logs only.
+    #: Status of the answer that begins in an upstream's packet, or 0.
     read_status: Callable[[bytes], int]
+    #: Whether the answer that begins in an upstream's packet says that the
+    #: request was not run, for instance for want of room.
+    says_not_run: Callable[[bytes], bool]
     #: A flow key as text for logs: ``host:port>host:port``.
     describe_key: Callable[[bytes], str]
