--- /dev/null
+++ b/tests/packets/test_ejection.py
@@ -0,0 +1,399 @@
+"""Upstreams that fail requests are ejected, and come back."""
+
+from collections import Counter
+from unittest import TestCase
+
+from keelgap.catalog.models import PacketRoute
+from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.packets.features import NO_FEATURES
+from keelgap_agent.packets.outcomes import defaults
+from tests.packets.building import ACK, FORMAT, SYN, make_packet, make_upstream
+from tests.packets.ejection_world import (
+    GOOD,
+    READ,
+    WRITE,
+    Treatment,
+    World,
+)
+
+
+def serve(number: int, route: PacketRoute) -> str:
+    """Answer every request well."""
+    return GOOD
+
+
+def fail_all(how: str) -> Treatment:
+    """Return an upstream that fails all requests in one way."""
+    return lambda number, route: how
+
+
+def fail_some(how: str, of_ten: int) -> Treatment:
+    """Return an upstream that fails so many requests of ten, mixed."""
+    return lambda number, route: how if number * 7 % 10 < of_ten else GOOD
+
+
+def play(world: World, seconds: float, each_tick: int = 20) -> Counter[str]:
+    """Send requests at a steady pace; two of three may be repeated."""
+    ends: Counter[str] = Counter()
+    for _ in range(round(seconds / 0.05)):
+        for number in range(each_tick):
+            route = WRITE if number % 3 == 0 else READ
+            end = world.ask(route)
+            ends[f'{end} {route.name}'] += 1
+        world.advance(0.05)
+    return ends
+
+
+class FastFailureTests(TestCase):
+    """An upstream that fails at once looks idle, and draws callers."""
+
+    def test_three_of_forty_that_reset_lose_few_requests(self) -> None:
+        """At most 5 that may run once, each; the way from mesalista."""
+        bad = fail_all('reset')
+        world = World([bad] * 3 + [serve] * 37)
+        play(world, 8)
+        for host in list(world.upstreams)[:3]:
+            lost = world.upstreams[host].requests['reset r-write']
+            self.assertLessEqual(lost, 5, host)
+        self.assertEqual(world.list_ejected(), list(world.upstreams)[:3])
+
+    def test_errors_lose_few_requests(self) -> None:
+        """An upstream that answers all with errors."""
+        world = World([fail_all('error')] * 3 + [serve] * 37)
+        play(world, 8)
+        for host in list(world.upstreams)[:3]:
+            lost = world.upstreams[host].requests['error r-write']
+            self.assertLessEqual(lost, 5, host)
+
+    def test_two_resets_in_a_row_eject_and_one_does_not(self) -> None:
+        """One failure proves little."""
+        for resets, is_out in ((1, False), (2, True)):
+            treatment: Treatment = lambda number, route, most=resets: (
+                'reset' if 10 <= number < 10 + most else GOOD
+            )
+            world = World([treatment, serve, serve])
+            host = next(iter(world.upstreams))
+            while world.upstreams[host].seen < 12 and not world.list_ejected():
+                world.ask()
+            self.assertEqual(bool(world.list_ejected()), is_out)
+
+    def test_two_failures_in_five_eject_after_some_ten_requests(self) -> None:
+        """However they fail."""
+        for how in ('reset', 'error'):
+            world = World([fail_some(how, 4), serve, serve])
+            host = next(iter(world.upstreams))
+            for _ in range(90):
+                world.ask()
+                if world.list_ejected():
+                    break
+            self.assertEqual(world.list_ejected(), [host], how)
+            self.assertLessEqual(world.upstreams[host].seen, 15, how)
+
+    def test_one_failure_in_a_hundred_never_ejects(self) -> None:
+        """Applications fail now and then."""
+        rare: Treatment = lambda number, route: (  # noqa: E731
+            'reset' if number % 100 == 50 else GOOD
+        )
+        world = World([rare, rare])
+        for _ in range(4000):
+            world.ask()
+        self.assertEqual(world.list_decided('upstream_ejected'), [])
+
+    def test_errors_of_one_route_eject_nobody(self) -> None:
+        """The application fails there; the other route is served."""
+        grey: Treatment = lambda number, route: (  # noqa: E731
+            'error' if route.name == WRITE.name else GOOD
+        )
+        world = World([grey] + [serve] * 9)
+        play(world, 5, each_tick=12)
+        self.assertEqual(world.list_ejected(), [])
+
+    def test_refusals_for_want_of_room_are_no_failure(self) -> None:
+        """More at work than slots; a refusal with free slots is one."""
+        world = World([fail_all('shed'), serve, serve])
+        host = next(iter(world.upstreams))
+        for _ in range(60):
+            world.ask()
+        self.assertEqual(world.list_ejected(), [host])
+        world = World([fail_all('shed'), serve, serve])
+        agent = world.agents[host]
+        agent.busy = 40
+        agent.slots = 39
+        for _ in range(60):
+            world.ask()
+        self.assertEqual(world.list_ejected(), [])
+
+    def test_closes_that_overtake_answers_are_none(self) -> None:
+        """Their number tells that an answer is on its way."""
+        world = World([serve, serve])
+        ends = play(world, 2)
+        self.assertEqual(set(ends), {'good r-read', 'good r-write'})
+        self.assertEqual(world.list_decided('outcome_closed'), [])
+
+
+class SilenceTests(TestCase):
+    """An upstream that hangs is known before its callers' deadlines."""
+
+    def test_hang_is_known_within_a_second(self) -> None:
+        """Callers wait two seconds and more."""
+        world = World([fail_all('hang'), serve, serve, serve])
+        host = next(iter(world.upstreams))
+        play(world, 1.2)
+        self.assertEqual(world.list_ejected(), [host])
+        lost = world.upstreams[host].requests['hang']
+        self.assertLessEqual(lost, 5)
+
+    def test_requests_that_wait_may_be_asked_again(self) -> None:
+        """They never reached the upstream, nor will they."""
+        world = World([fail_all('hang'), serve])
+        host = next(iter(world.upstreams))
+        flows = [world.open() for _ in range(40)]
+        for flow in flows:
+            world.send_request(flow)
+        world.advance(1.2)
+        upstream = world.upstreams[host]
+        self.assertLessEqual(upstream.seen, 5)
+        ends = Counter(world.read_end(flow) for flow in flows)
+        self.assertEqual(ends['silent'], upstream.seen)
+        self.assertGreater(ends['reset before'], 5)
+        # Their late packets never run.
+        for flow in flows:
+            if world.read_end(flow) == 'reset before':
+                world.send_request(flow)
+        self.assertEqual(ends['silent'], upstream.seen)
+
+    def test_openings_without_an_answer_go_elsewhere(self) -> None:
+        """An upstream whose process is gone, though its entry stands."""
+        world = World([fail_all('mute'), serve, serve])
+        flows = [world.open() for _ in range(30)]
+        world.advance(0.5)
+        self.assertEqual(
+            {world.send_request(flow) for flow in flows},
+            {GOOD},
+        )
+
+    def test_a_pause_of_the_agent_proves_nothing(self) -> None:
+        """Its machine stood still, and the upstream's with it."""
+        world = World([fail_all('mute'), serve, serve])
+        for _ in range(30):
+            world.open()
+        world.now += 3
+        world.advance(0.1)
+        self.assertEqual(world.list_decided('outcome_unopened'), [])
+
+    def test_callers_that_leave_are_no_failure(self) -> None:
+        """A reset of the caller ends its request."""
+        world = World([fail_all('hang')] * 2)
+        for _ in range(4):
+            flow = world.open()
+            world.send_request(flow)
+            world.send('10.1.0.1', make_packet(flow, 64, seq=4))
+        world.advance(3)
+        self.assertEqual(world.list_ejected(), [])
+
+
+class ReturnTests(TestCase):
+    """Probation: few requests that may be repeated, growing."""
+
+    def test_upstream_returns_once_it_serves(self) -> None:
+        """And a failing one is tried by repeatable requests only."""
+        until = [False]
+        sick: Treatment = lambda number, route: (  # noqa: E731
+            GOOD if until[0] else 'reset'
+        )
+        world = World([sick] + [serve] * 9)
+        host = next(iter(world.upstreams))
+        play(world, 1, each_tick=5)
+        self.assertEqual(world.list_ejected(), [host])
+        lost = world.upstreams[host].requests['reset r-write']
+        play(world, 4, each_tick=5)
+        upstream = world.upstreams[host]
+        self.assertEqual(upstream.requests['reset r-write'], lost)
+        self.assertLessEqual(upstream.requests['reset'], lost + 6)
+        until[0] = True
+        play(world, 9, each_tick=5)
+        self.assertEqual(world.list_ejected(), [])
+        self.assertGreater(upstream.requests['good r-write'], 10)
+
+    def test_service_without_repeatable_requests_returns(self) -> None:
+        """After a while any request tries, one at a time."""
+        until = [False]
+        sick: Treatment = lambda number, route: (  # noqa: E731
+            GOOD if until[0] else 'reset'
+        )
+        route = READ._replace(is_idempotent=False)
+        world = World([sick] + [serve] * 4, routes=(route, WRITE))
+        for _ in range(100):
+            world.ask()
+            world.advance(0.05)
+        host = next(iter(world.upstreams))
+        self.assertEqual(world.list_ejected(), [host])
+        self.assertLessEqual(world.upstreams[host].requests['reset'], 5)
+        until[0] = True
+        for _ in range(800):
+            world.ask()
+            world.advance(0.05)
+        self.assertEqual(world.list_ejected(), [])
+
+    def test_flapping_upstream_waits_longer_each_time(self) -> None:
+        """So it costs less and less."""
+        world = World([serve] + [serve] * 4)
+        host = next(iter(world.upstreams))
+        world.upstreams[host].treatment = lambda number, route: (
+            'reset' if int(world.now) % 4 < 2 else GOOD
+        )
+        play(world, 20, each_tick=4)
+        waits = [one['wait'] for one in world.list_decided('upstream_ejected')]
+        trials = [one['wait'] for one in world.list_decided('upstream_trial')]
+        self.assertGreaterEqual(max(waits + trials), 4)
+        lost = world.upstreams[host].requests['reset r-write']
+        self.assertLessEqual(lost, 8)
+
+    def test_agent_that_is_restarted_judges_anew(self) -> None:
+        """It knows nothing of before: that costs some requests."""
+        world = World([fail_all('reset')] + [serve] * 9)
+        host = next(iter(world.upstreams))
+        play(world, 1, each_tick=5)
+        before = world.upstreams[host].requests['reset']
+        world.restart_agent(host)
+        world.advance(0.3)
+        self.assertEqual(world.list_ejected(), [])
+        play(world, 0.8, each_tick=5)
+        self.assertEqual(world.list_ejected(), [host])
+        lost = world.upstreams[host].requests['reset'] - before
+        self.assertLessEqual(lost, 5)
+
+    def test_upstream_that_started_anew_is_not_ejected(self) -> None:
+        """Its score is another one's; the notice tells."""
+        world = World([fail_all('reset')] + [serve] * 4)
+        host = next(iter(world.upstreams))
+        play(world, 1, each_tick=5)
+        self.assertEqual(world.list_ejected(), [host])
+        row = make_upstream(1, generation=1)
+        world.rows[0] = row._replace(revision=9, started=9)
+        world.learn(2)
+        world.upstreams[host].treatment = serve
+        world.advance(1.2)
+        self.assertEqual(world.list_ejected(), [])
+
+
+class FleetTests(TestCase):
+    """What balancers make of it."""
+
+    def test_where_most_fail_none_is_left_out(self) -> None:
+        """A cause that most share is not theirs; requests still pass."""
+        world = World([fail_all('error')] * 8 + [serve] * 2)
+        ends = play(world, 4, each_tick=10)
+        good = sum(count for end, count in ends.items() if GOOD in end)
+        self.assertGreater(good, 0)
+        self.assertNotIn('reset before r-write', ends)
+        self.assertNotIn('unopened r-write', ends)
+
+    def test_all_fail_and_all_are_tried(self) -> None:
+        """Nobody is refused for want of an upstream."""
+        world = World([fail_all('error')] * 6)
+        ends = play(world, 3, each_tick=6)
+        self.assertEqual(set(ends), {'error r-read', 'error r-write'})
+
+    def test_a_balancer_that_is_behind_costs_no_request(self) -> None:
+        """The agent gives the flow back, and the reason first."""
+        world = World([fail_all('reset')] + [serve] * 9)
+        host = next(iter(world.upstreams))
+        play(world, 1, each_tick=5)
+        lost = world.upstreams[host].requests['reset']
+        for balancer in world.balancers.values():
+            balancer.ejections.out.clear()
+            balancer.ejections.wanting.clear()
+        ends = Counter(world.ask() for _ in range(40))
+        self.assertEqual(set(ends), {GOOD})
+        self.assertEqual(world.upstreams[host].requests['reset'], lost)
+        for balancer in world.balancers.values():
+            self.assertLessEqual(len(balancer.ejections.out), 1)
+
+    def test_copy_of_an_opening_stays_with_its_agent(self) -> None:
+        """An ejection meanwhile opens no second flow."""
+        world = World([serve] * 4)
+        flow = world.open(READ)
+        key = flow.key
+        (holder,) = [
+            host for host, agent in world.agents.items() if key in agent.flows
+        ]
+        agent = world.agents[holder]
+        agent.outcomes.ejection.eject(world.now)
+        agent.outcomes.has_news = True
+        world.advance(0.05)
+        for host in world.balancers:
+            if world.balancers[host].owners.get(key) is not None:
+                world.send(host, make_packet(flow, SYN, ack=1))
+        holders = [
+            host for host, one in world.upstreams.items() if key in one.open
+        ]
+        self.assertEqual(holders, [holder])
+
+    def test_agents_behind_a_partition_return(self) -> None:
+        """What is believed comes from their reports only."""
+        world = World([serve] * 6)
+        cut = set(list(world.agents)[:2])
+        for host in cut:
+            world.agents[host].outcomes.ejection.eject(world.now)
+            world.agents[host].outcomes.has_news = True
+        world.advance(0.1)
+        world.cut_off = cut
+        ends = Counter(world.ask() for _ in range(20))
+        self.assertEqual(set(ends), {GOOD})
+        world.cut_off = set()
+        play(world, 6, each_tick=6)
+        self.assertEqual(world.list_ejected(), [])
+        for balancer in world.balancers.values():
+            self.assertEqual(balancer.ejections.out, {})
+
+    def test_only_repeatable_requests_are_sent_as_trials(self) -> None:
+        """One that may run once goes where requests are served."""
+        world = World([fail_all('reset')] + [serve] * 4)
+        play(world, 6, each_tick=5)
+        ports = {
+            FORMAT.route_key(envelope.content)
+            for _, _, envelope in world.sent
+            if envelope.kind == EnvelopeKind.TRY
+        }
+        self.assertEqual(ports, {FORMAT.make_route_key(READ.host, READ.port)})
+
+
+class NothingFailsTests(TestCase):
+    """Where nothing fails, each decision is the one of before."""
+
+    def test_recorded_arrivals_are_served_alike(self) -> None:
+        """Both codes send the same envelopes in the same order."""
+        worlds = []
+        for features in (NO_FEATURES, None):
+            treatments: list[Treatment] = [serve] * 12
+            world = (
+                World(treatments)
+                if features is None
+                else World(
+                    treatments,
+                    features=features,
+                )
+            )
+            play(world, 4, each_tick=15)
+            flows = [world.open(READ, copies=2) for _ in range(20)]
+            for flow in flows:
+                world.send('10.1.0.1', make_packet(flow, ACK))
+            world.advance(2)
+            worlds.append(world)
+        before, after = worlds
+        self.assertEqual(before.sent, after.sent)
+        self.assertEqual(before.to_caller, after.to_caller)
+
+    def test_healthy_upstream_loses_nothing_by_a_false_ejection(self) -> None:
+        """It is back within seconds, and no request fails."""
+        world = World([serve] * 5)
+        host = next(iter(world.agents))
+        world.agents[host].outcomes.ejection.eject(world.now)
+        world.agents[host].outcomes.has_news = True
+        ends = play(world, 5, each_tick=6)
+        self.assertEqual(set(ends), {'good r-read', 'good r-write'})
+        self.assertEqual(world.list_ejected(), [])
+        wait = defaults.SHORTEST_WAIT_SECONDS
+        (returned,) = world.list_decided('upstream_returned')
+        self.assertEqual(returned['wait'], wait)
