--- a/tests/packets/ejection_world.py
+++ b/tests/packets/ejection_world.py
@@ -44,6 +44,7 @@
     'error': b'HTTP/1.1 500 Oops\r\n\r\n',
     'shed': b'HTTP/1.1 503 No\r\nX-Keelgap-Not-Executed: 1\r\n\r\n',
 }
+_NAMES = {octets: name for name, octets in ANSWERS.items()}
 ON = Features(ejection=True)
 _FIRST = 1000
 
@@ -61,6 +62,14 @@
     return FlowName(caller, port, route)
 
 
+def _read_end(datagram: bytes) -> str:
+    """Return what a packet says of a request; nothing if it does not."""
+    if datagram[26] & RST:
+        return 'reset' if datagram[30:] == b'sum!' else 'reset before'
+    content = datagram[FORMAT.header_length :]
+    return _NAMES.get(content, '')
+
+
 class FakeUpstream:
     """An upstream with its treatment of requests."""
 
@@ -201,14 +210,8 @@
 
     def read_end(self, flow: FlowName) -> str:
         """Return what the caller has got behind the opening packet."""
-        for datagram in self.to_caller[flow.key][1:]:
-            content = datagram[FORMAT.header_length :]
-            for name, octets in ANSWERS.items():
-                if content and content == octets:
-                    return name
-            if datagram[26] & RST:
-                return 'reset' if datagram[30:] == b'sum!' else 'reset before'
-        return 'silent'
+        ends = map(_read_end, self.to_caller[flow.key][1:])
+        return next(filter(None, ends), 'silent')
 
     def send(self, host: str, datagram: bytes) -> None:
         """Send a caller's packet, and deliver all that follows."""
@@ -262,17 +265,24 @@
     def _run_agent(self, host: str, event: Any) -> None:
         _, effects = agent_reducer.reduce(self.agents[host], event)
         for effect in effects:
-            if isinstance(effect, agent_effects.SendToPeer):
-                self._post(effect.host, host, effect.envelope)
-            elif isinstance(effect, agent_effects.SendToUpstream):
-                for answer in self.upstreams[host].answer(effect.datagram):
-                    came = agent_events.UpstreamPacket(self.now, answer)
-                    self._run_agent(host, came)
-            elif isinstance(effect, agent_effects.SendToCaller):
-                key = FORMAT.upstream_key(effect.datagram)
-                self._give(key, effect.datagram)
-            elif isinstance(effect, agent_effects.Decided):
-                self.decided.append(effect)
+            if isinstance(effect, agent_effects.SendToUpstream):
+                self._pass(host, effect.datagram)
+            else:
+                self._take_effect(host, effect)
+
+    def _take_effect(self, host: str, effect: Any) -> None:
+        if isinstance(effect, agent_effects.SendToPeer):
+            self._post(effect.host, host, effect.envelope)
+        elif isinstance(effect, agent_effects.SendToCaller):
+            key = FORMAT.upstream_key(effect.datagram)
+            self._give(key, effect.datagram)
+        elif isinstance(effect, agent_effects.Decided):
+            self.decided.append(effect)
+
+    def _pass(self, host: str, datagram: bytes) -> None:
+        for answer in self.upstreams[host].answer(datagram):
+            came = agent_events.UpstreamPacket(self.now, answer)
+            self._run_agent(host, came)
 
     def _give(self, key: bytes, datagram: bytes) -> None:
         self.to_caller.setdefault(key, []).append(datagram)
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -22,6 +22,11 @@
     return GOOD
 
 
+def many(*parts: tuple[Treatment, int]) -> list[Treatment]:
+    """Return so many upstreams of each treatment."""
+    return [treatment for treatment, count in parts for _ in range(count)]
+
+
 def fail_all(how: str) -> Treatment:
     """Return an upstream that fails all requests in one way."""
     return lambda number, route: how
@@ -32,6 +37,11 @@
     return lambda number, route: how if number * 7 % 10 < of_ten else GOOD
 
 
+def fail_from_tenth(resets: int) -> Treatment:
+    """Return an upstream that resets so many requests from the tenth on."""
+    return lambda number, route: 'reset' if 10 <= number < 10 + resets else GOOD
+
+
 def play(world: World, seconds: float, each_tick: int = 20) -> Counter[str]:
     """Send requests at a steady pace; two of three may be repeated."""
     ends: Counter[str] = Counter()
@@ -50,7 +60,7 @@
     def test_three_of_forty_that_reset_lose_few_requests(self) -> None:
         """At most 5 that may run once, each; the way from mesalista."""
         bad = fail_all('reset')
-        world = World([bad] * 3 + [serve] * 37)
+        world = World(many((bad, 3), (serve, 37)))
         play(world, 8)
         for host in list(world.upstreams)[:3]:
             lost = world.upstreams[host].requests['reset r-write']
@@ -59,7 +69,7 @@
 
     def test_errors_lose_few_requests(self) -> None:
         """An upstream that answers all with errors."""
-        world = World([fail_all('error')] * 3 + [serve] * 37)
+        world = World(many((fail_all('error'), 3), (serve, 37)))
         play(world, 8)
         for host in list(world.upstreams)[:3]:
             lost = world.upstreams[host].requests['error r-write']
@@ -68,10 +78,7 @@
     def test_two_resets_in_a_row_eject_and_one_does_not(self) -> None:
         """One failure proves little."""
         for resets, is_out in ((1, False), (2, True)):
-            treatment: Treatment = lambda number, route, most=resets: (
-                'reset' if 10 <= number < 10 + most else GOOD
-            )
-            world = World([treatment, serve, serve])
+            world = World([fail_from_tenth(resets), serve, serve])
             host = next(iter(world.upstreams))
             while world.upstreams[host].seen < 12 and not world.list_ejected():
                 world.ask()
@@ -104,7 +111,7 @@
         grey: Treatment = lambda number, route: (  # noqa: E731
             'error' if route.name == WRITE.name else GOOD
         )
-        world = World([grey] + [serve] * 9)
+        world = World(many((grey, 1), (serve, 9)))
         play(world, 5, each_tick=12)
         self.assertEqual(world.list_ejected(), [])
 
@@ -183,7 +190,7 @@
 
     def test_callers_that_leave_are_no_failure(self) -> None:
         """A reset of the caller ends its request."""
-        world = World([fail_all('hang')] * 2)
+        world = World(many((fail_all('hang'), 2)))
         for _ in range(4):
             flow = world.open()
             world.send_request(flow)
@@ -201,7 +208,7 @@
         sick: Treatment = lambda number, route: (  # noqa: E731
             GOOD if until[0] else 'reset'
         )
-        world = World([sick] + [serve] * 9)
+        world = World(many((sick, 1), (serve, 9)))
         host = next(iter(world.upstreams))
         play(world, 1, each_tick=5)
         self.assertEqual(world.list_ejected(), [host])
@@ -222,7 +229,7 @@
             GOOD if until[0] else 'reset'
         )
         route = READ._replace(is_idempotent=False)
-        world = World([sick] + [serve] * 4, routes=(route, WRITE))
+        world = World(many((sick, 1), (serve, 4)), routes=(route, WRITE))
         for _ in range(100):
             world.ask()
             world.advance(0.05)
@@ -237,7 +244,7 @@
 
     def test_flapping_upstream_waits_longer_each_time(self) -> None:
         """So it costs less and less."""
-        world = World([serve] + [serve] * 4)
+        world = World(many((serve, 1), (serve, 4)))
         host = next(iter(world.upstreams))
         world.upstreams[host].treatment = lambda number, route: (
             'reset' if int(world.now) % 4 < 2 else GOOD
@@ -251,7 +258,7 @@
 
     def test_agent_that_is_restarted_judges_anew(self) -> None:
         """It knows nothing of before: that costs some requests."""
-        world = World([fail_all('reset')] + [serve] * 9)
+        world = World(many((fail_all('reset'), 1), (serve, 9)))
         host = next(iter(world.upstreams))
         play(world, 1, each_tick=5)
         before = world.upstreams[host].requests['reset']
@@ -265,7 +272,7 @@
 
     def test_upstream_that_started_anew_is_not_ejected(self) -> None:
         """Its score is another one's; the notice tells."""
-        world = World([fail_all('reset')] + [serve] * 4)
+        world = World(many((fail_all('reset'), 1), (serve, 4)))
         host = next(iter(world.upstreams))
         play(world, 1, each_tick=5)
         self.assertEqual(world.list_ejected(), [host])
@@ -282,7 +289,7 @@
 
     def test_where_most_fail_none_is_left_out(self) -> None:
         """A cause that most share is not theirs; requests still pass."""
-        world = World([fail_all('error')] * 8 + [serve] * 2)
+        world = World(many((fail_all('error'), 8), (serve, 2)))
         ends = play(world, 4, each_tick=10)
         good = sum(count for end, count in ends.items() if GOOD in end)
         self.assertGreater(good, 0)
@@ -291,13 +298,13 @@
 
     def test_all_fail_and_all_are_tried(self) -> None:
         """Nobody is refused for want of an upstream."""
-        world = World([fail_all('error')] * 6)
+        world = World(many((fail_all('error'), 6)))
         ends = play(world, 3, each_tick=6)
         self.assertEqual(set(ends), {'error r-read', 'error r-write'})
 
     def test_a_balancer_that_is_behind_costs_no_request(self) -> None:
         """The agent gives the flow back, and the reason first."""
-        world = World([fail_all('reset')] + [serve] * 9)
+        world = World(many((fail_all('reset'), 1), (serve, 9)))
         host = next(iter(world.upstreams))
         play(world, 1, each_tick=5)
         lost = world.upstreams[host].requests['reset']
@@ -312,7 +319,7 @@
 
     def test_copy_of_an_opening_stays_with_its_agent(self) -> None:
         """An ejection meanwhile opens no second flow."""
-        world = World([serve] * 4)
+        world = World(many((serve, 4)))
         flow = world.open(READ)
         key = flow.key
         (holder,) = [
@@ -332,7 +339,7 @@
 
     def test_agents_behind_a_partition_return(self) -> None:
         """What is believed comes from their reports only."""
-        world = World([serve] * 6)
+        world = World(many((serve, 6)))
         cut = set(list(world.agents)[:2])
         for host in cut:
             world.agents[host].outcomes.ejection.eject(world.now)
@@ -349,7 +356,7 @@
 
     def test_only_repeatable_requests_are_sent_as_trials(self) -> None:
         """One that may run once goes where requests are served."""
-        world = World([fail_all('reset')] + [serve] * 4)
+        world = World(many((fail_all('reset'), 1), (serve, 4)))
         play(world, 6, each_tick=5)
         ports = {
             FORMAT.route_key(envelope.content)
@@ -366,7 +373,7 @@
         """Both codes send the same envelopes in the same order."""
         worlds = []
         for features in (NO_FEATURES, None):
-            treatments: list[Treatment] = [serve] * 12
+            treatments: list[Treatment] = many((serve, 12))
             world = (
                 World(treatments)
                 if features is None
@@ -387,7 +394,7 @@
 
     def test_healthy_upstream_loses_nothing_by_a_false_ejection(self) -> None:
         """It is back within seconds, and no request fails."""
-        world = World([serve] * 5)
+        world = World(many((serve, 5)))
         host = next(iter(world.agents))
         world.agents[host].outcomes.ejection.eject(world.now)
         world.agents[host].outcomes.has_news = True
