--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/telling.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/telling.py
@@ -10,9 +10,16 @@
 
 
 def make_report_to(state: AgentState, host: str) -> SendToPeer:
-    """Return a report in the form that a balancer reads."""
+    """Return a report in the form that a balancer reads.
+
+    One of an earlier release would take an ejected upstream for one that has
+    closed, and never try it.  It is not told, and finds out flow by flow.
+    """
     report_format = state.balancers.report_formats.get(host, 0)
-    content = pack_report(state.make_report(), report_format)
+    report = state.make_report()
+    if not report_format:
+        report = report._replace(is_ejected=False, wants_trial=False)
+    content = pack_report(report, report_format)
     return state.send(host, EnvelopeKind.REPORT, content)
 
 
--- a/tests/packets/ejection_world.py
+++ b/tests/packets/ejection_world.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from keelgap.catalog.models import PacketRoute
-from keelgap.packets.envelopes import Envelope
+from keelgap.packets.envelopes import Envelope, EnvelopeKind
 from keelgap.packets.features import Features
 from keelgap_agent.packets import effects as agent_effects
 from keelgap_agent.packets import events as agent_events
@@ -32,7 +32,7 @@
     make_upstream,
 )
 
-__all__ = ('GOOD', 'READ', 'WRITE', 'World', 'make_way_back')
+__all__ = ('GOOD', 'ON', 'READ', 'WRITE', 'World', 'make_way_back')
 
 #: Two routes of one service: requests of the first may be repeated.
 READ = BOARD._replace(name='r-read', is_idempotent=True)
@@ -47,6 +47,8 @@
 _NAMES = {octets: name for name, octets in ANSWERS.items()}
 ON = Features(ejection=True)
 _FIRST = 1000
+#: Envelopes in which balancers state the form of reports that they read.
+_STATING = frozenset((EnvelopeKind.HELLO, EnvelopeKind.ASK))
 
 #: How an upstream treats its nth request, of a route.
 Treatment = Callable[[int, PacketRoute], str]
@@ -151,6 +153,8 @@
         self.port = 1
         #: Hosts that nothing reaches.
         self.cut_off: set[str] = set()
+        #: Whether balancers state no form of reports.
+        self.are_balancers_old = False
         self.learn(1)
         self.advance(4)
 
@@ -248,6 +252,8 @@
                 self._run_agent(receiver, came)
 
     def _post(self, receiver: str, sender: str, envelope: Envelope) -> None:
+        if self.are_balancers_old and envelope.kind in _STATING:
+            envelope = envelope._replace(hop=0)
         self.queue.append((receiver, sender, envelope))
         self.sent.append((receiver, sender, envelope))
 
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -10,6 +10,7 @@
 from tests.packets.building import ACK, FORMAT, SYN, make_packet, make_upstream
 from tests.packets.ejection_world import (
     GOOD,
+    ON,
     READ,
     WRITE,
     Treatment,
@@ -242,6 +243,27 @@
             world.advance(0.05)
         self.assertEqual(world.list_ejected(), [])
 
+    def test_balancers_of_the_release_before_do_not_shut_it_out(self) -> None:
+        """They know no trials; one of their flows is taken now and then."""
+        until = [False]
+        sick: Treatment = lambda number, route: (  # noqa: E731
+            GOOD if until[0] else 'reset'
+        )
+        world = World(many((sick, 1), (serve, 4)), features=NO_FEATURES)
+        for agent in world.agents.values():
+            agent.features = ON
+        world.are_balancers_old = True
+        host = next(iter(world.upstreams))
+        for _ in range(60):
+            world.ask()
+            world.advance(0.05)
+        self.assertEqual(world.list_ejected(), [host])
+        until[0] = True
+        for _ in range(900):
+            world.ask()
+            world.advance(0.05)
+        self.assertEqual(world.list_ejected(), [])
+
     def test_flapping_upstream_waits_longer_each_time(self) -> None:
         """So it costs less and less."""
         world = World(many((serve, 1), (serve, 4)))
--- a/tests/platform/test_layout.py
+++ b/tests/platform/test_layout.py
@@ -37,6 +37,24 @@
             FORMAT.make_route_key('198.18.0.1', 443),
         )
 
+    def test_answers_that_say_not_run_are_told_from_errors(self) -> None:
+        """By a header field, or by a status of requests that never run."""
+        cases = {
+            b'HTTP/1.1 200 OK\r\n\r\n': False,
+            b'HTTP/1.1 500 Oops\r\n\r\n': False,
+            b'HTTP/1.1 503 No\r\n\r\n': False,
+            b'HTTP/1.1 503 No\r\nX-Keelgap-Not-Executed: 1\r\n\r\n': True,
+            b'HTTP/1.1 503 No\r\nx-keelgap-not-executed: 1\r\n\r\n': True,
+            b'HTTP/1.1 421 Elsewhere\r\n\r\n': True,
+            b'HTTP/1.1 429 Later\r\n\r\n': True,
+            b'HTTP/1.1 200 OK\r\n\r\nX-Keelgap-Not-Executed: 1': False,
+            b'more of an answer': False,
+        }
+        head = OPENING[: FORMAT.header_length]
+        for answer, expected in cases.items():
+            with self.subTest(answer):
+                self.assertIs(FORMAT.says_not_run(head + answer), expected)
+
     def test_reset_is_that_of_the_protocol(self) -> None:
         """It comes from the route's end and acknowledges nothing."""
         self.assertEqual(FORMAT.make_reset(OPENING), RESET)
