--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -66,6 +66,8 @@
         self.half_open: set[bytes] = set()
         self.open: set[bytes] = set()
         self.accepts = True
+        #: Number of its opening packets; 0 if callers acknowledge none.
+        self.number = 0
 
     def answer(self, datagram: bytes) -> bytes | None:
         """Return what the upstream sends for a packet."""
@@ -74,11 +76,18 @@
             if not self.accepts:
                 return _bounce(datagram)
             self.half_open.add(key)
-            return _answer(key, SYN | ACK)
-        if key not in self.open | self.half_open:
+            return _answer(key, SYN | ACK, number=self.number)
+        if key not in self.open | self.half_open or self._is_of_another(
+            datagram,
+        ):
             return _bounce(datagram)
         self.open.add(key)
-        return _answer(key, ACK, b'answer')
+        return _answer(key, ACK, b'answer', self.number + 1)
+
+    def _is_of_another(self, datagram: bytes) -> bool:
+        """Return whether the caller chose another upstream's answer."""
+        acknowledged = FORMAT.acknowledged(datagram)
+        return self.number > 0 and acknowledged != self.number + 1
 
 
 def _bounce(datagram: bytes) -> bytes:
@@ -87,13 +96,18 @@
     return bytes(octets)
 
 
-def _answer(key: bytes, flags: int, data: bytes = b'') -> bytes:
+def _answer(
+    key: bytes,
+    flags: int,
+    data: bytes = b'',
+    number: int = 0,
+) -> bytes:
     caller = '.'.join(str(octet) for octet in reversed(key[:4]))
     port = int.from_bytes(key[4:6], 'little')
     host = '.'.join(str(octet) for octet in reversed(key[6:10]))
     route = PacketRoute('', host, int.from_bytes(key[10:], 'little'), ())
     name = FlowName(caller, port, route)
-    return make_packet(name, flags, back=True, data=data)
+    return make_packet(name, flags, back=True, seq=number, data=data)
 
 
 class PacketMachine(RuleBasedStateMachine):
@@ -410,6 +424,9 @@
             assert not holders, 'a living flow was reset'  # noqa: S101
         self.flows.pop(key, None)
 
+    def _check_told(self, host: str, datagram: bytes) -> None:
+        """Check what an agent sends to a caller."""
+
     def _check_passed(self, upstream: FakeUpstream, datagram: bytes) -> None:
         key = FORMAT.caller_key(datagram)
         route = FORMAT.route_key(datagram)
@@ -549,6 +566,8 @@
                 self._post(effect.host, host, effect.envelope)
             elif isinstance(effect, agent_effects.SendToUpstream):
                 self._pass(host, effect.datagram)
+            elif isinstance(effect, agent_effects.SendToCaller):
+                self._check_told(host, effect.datagram)
 
     def _pass(self, host: str, datagram: bytes) -> None:
         upstream = self.upstreams[host]
