--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
@@ -7,6 +7,7 @@
     'EJECTION_SCORE',
     'ERROR_WEIGHT',
     'FORCED_HOP',
+    'GIVEN_UP_SECONDS',
     'GOOD_WEIGHT',
     'GRACE_SECONDS',
     'LAST_RESORT_SECONDS',
@@ -120,6 +121,7 @@
 #: upstreams fail, none is ejected.
 FORCED_HOP: Final = 3
 
-#: Flows given up that are remembered, and for how long: callers repeat their
-#: packets for no longer.
+#: Flows given up that are remembered, 300 octets each, and for how long: no
+#: request lasts longer, so callers repeat their packets for no longer.
 MAX_GIVEN_UP: Final = 2000
+GIVEN_UP_SECONDS: Final = 30.0
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/state.py
@@ -104,7 +104,7 @@
         if now - self.ticked_at > defaults.PAUSE_SECONDS:
             self.awake_since = now
         self.ticked_at = now
-        limit = now - defaults.REMEMBERED_SECONDS
+        limit = now - defaults.GIVEN_UP_SECONDS
         for key, given_up in tuple(self.given_up.items()):
             if given_up.at > limit:
                 break
