--- a/tests/packets/test_ejection_oracle.py
+++ b/tests/packets/test_ejection_oracle.py
@@ -8,15 +8,19 @@
 from hypothesis.stateful import rule
 
 from keelgap.catalog.models import PacketUpstream
+from keelgap.packets.envelopes import Envelope, EnvelopeKind
 from keelgap.packets.features import Features
+from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.outcomes import defaults, giving_up
 from keelgap_agent.packets.state import AgentState
 from tests.fuzzing import run_machine
 from tests.packets.building import (
     ACK,
+    BOARD,
     FORMAT,
     RST,
     SYN,
+    FlowName,
     make_packet,
     make_upstream,
 )
@@ -61,6 +65,29 @@
                 self._send('10.1.0.2', make_packet(flow, ACK, data=b'GET'))
         self.deliver_all()
 
+    @rule()
+    def open_twice(self) -> None:
+        """A flow opens at one upstream, and waits at one that is ejected."""
+        flow = FlowName('100.64.0.9', self.next_port, BOARD)
+        self.next_port += 1
+        self.flows[flow.key] = flow
+        request = make_packet(flow, ACK, data=b'GET')
+        for packet in (make_packet(flow, SYN), request):
+            self._send(BALANCERS[0], packet)
+            self.deliver_all()
+        others = [
+            host
+            for host, upstream in self.upstreams.items()
+            if upstream.row.service == 'board'
+            and flow.key not in upstream.open | upstream.half_open
+        ]
+        if not others or flow.key not in self.flows:
+            return
+        self._offer(others[0], EnvelopeKind.OPEN, make_packet(flow, SYN))
+        self.agents[others[0]].outcomes.ejection.eject(self.now)
+        self._offer(others[0], EnvelopeKind.FORWARD, request)
+        self.deliver_all()
+
     @rule(host=st.sampled_from(BALANCERS))
     def repeat_late(self, host: str) -> None:
         """Packets arrive that callers sent before they were told."""
@@ -84,10 +111,21 @@
 
     def _send(self, host: str, packet: bytes) -> None:
         """Let callers acknowledge the upstream that answered first."""
+        super()._send(host, self._acknowledge(packet))
+
+    def _acknowledge(self, packet: bytes) -> bytes:
         chosen = self._get_chosen().get(FORMAT.caller_key(packet))
-        if chosen is not None and not packet[26] & SYN:
-            packet = packet[:22] + struct.pack('<I', chosen) + packet[26:]
-        super()._send(host, packet)
+        if chosen is None or packet[26] & SYN:
+            return packet
+        return packet[:22] + struct.pack('<I', chosen) + packet[26:]
+
+    def _offer(self, host: str, kind: EnvelopeKind, packet: bytes) -> None:
+        """Send a packet to an agent that its flow was not meant for."""
+        tag = self.agents[host].service_tag
+        packet = self._acknowledge(packet)
+        envelope = Envelope(kind, 0, 3, 0, 0, tag, packet)
+        event = EnvelopeArrived(self.now, BALANCERS[1], envelope)
+        self._run_agent(host, event)
 
     def _get_chosen(self) -> dict[bytes, int]:
         if not hasattr(self, 'chosen'):
