--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
@@ -12,6 +12,7 @@
         'forced',
         'good_trials',
         'is_out',
+        'is_silent',
         'returned_at',
         'since',
         'trials',
@@ -23,6 +24,8 @@
     def __init__(self) -> None:
         """Start as an upstream that is not ejected."""
         self.is_out = False
+        #: Whether the upstream gives no answers, rather than bad ones.
+        self.is_silent = False
         #: Whether one more request should try it.
         self.wants_trial = False
         #: When it was ejected, or a trial failed.
@@ -39,8 +42,9 @@
         #: Other flows taken because nobody else took them.
         self.forced: set[bytes] = set()
 
-    def eject(self, now: float) -> None:
+    def eject(self, now: float, *, is_silent: bool) -> None:
         """Take the upstream out, for longer if that failed a moment ago."""
+        self.is_silent = is_silent
         if now - self.returned_at > defaults.REMEMBERED_SECONDS:
             self.wait = 0
         self.is_out = True
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -3,8 +3,12 @@
 None of them is open: no packet behind the opening one has reached the
 upstream, nor will one.  Where the upstream has not answered the opening
 packet, that goes back to the balancer.  Otherwise the caller holds the
-upstream's answer, and is told by a reset that it may ask again; but only if
-its first data acknowledge this upstream, for it may have chosen another one.
+upstream's answer, and counts its flow as open.  If the upstream is silent, a
+reset lets those who may repeat their requests do so at once; the others would
+wait for nothing.  It is sent only if the first data acknowledge this upstream,
+for the caller may have chosen another one.  If the upstream gives bad answers,
+those who wait get theirs: some are good, and the others come as soon as a
+reset would.
 """
 
 from keelgap.packets.envelopes import OPENING_KINDS
@@ -57,7 +61,8 @@
     """Reset a flow whose request came, while the upstream is ejected."""
     ejection = state.outcomes.ejection
     held = state.held[key]
-    if not ejection.is_out or ejection.is_taken(key) or not held.packets:
+    is_lost = ejection.is_out and ejection.is_silent
+    if not is_lost or ejection.is_taken(key) or not held.packets:
         return ()
     datagram = next(iter(held.packets.values())).envelope.content
     if not acknowledges_upstream(state, state.flows[key], datagram):
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
@@ -5,7 +5,11 @@
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.outcomes import defaults
 from keelgap_agent.packets.outcomes.giving_up import give_up_all
-from keelgap_agent.packets.outcomes.score import Outcome, Score
+from keelgap_agent.packets.outcomes.score import (
+    SILENT_OUTCOMES,
+    Outcome,
+    Score,
+)
 from keelgap_agent.packets.state import AgentState
 
 __all__ = ('note_outcome',)
@@ -44,7 +48,7 @@
     now: float,
 ) -> Effects:
     outcomes = state.outcomes
-    outcomes.ejection.eject(now)
+    outcomes.ejection.eject(now, is_silent=outcome in SILENT_OUTCOMES)
     outcomes.has_news = True
     fields = {
         **_describe(state, key, outcome, now),
@@ -64,6 +68,7 @@
 ) -> Effects:
     if not state.outcomes.ejection.note_trial(key, now, is_good=False):
         return ()
+    state.outcomes.ejection.is_silent = outcome in SILENT_OUTCOMES
     state.outcomes.has_news = True
     trial = Decided('upstream_trial', _describe(state, key, outcome, now))
     return (trial, *give_up_all(state, now))
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -131,6 +131,14 @@
             world.ask()
         self.assertEqual(world.list_ejected(), [])
 
+    def test_those_who_wait_for_bad_answers_get_theirs(self) -> None:
+        """Their flows are open to them, so a reset would save nobody."""
+        world = World([fail_some('error', 6), serve])
+        flows = [world.open() for _ in range(60)]
+        ends = Counter(world.send_request(flow) for flow in flows)
+        self.assertEqual(len(world.list_ejected()), 1)
+        self.assertEqual(set(ends), {GOOD, 'error'})
+
     def test_closes_that_overtake_answers_are_none(self) -> None:
         """Their number tells that an answer is on its way."""
         world = World([serve, serve])
@@ -348,7 +356,10 @@
             host for host, agent in world.agents.items() if key in agent.flows
         ]
         agent = world.agents[holder]
-        agent.outcomes.ejection.eject(world.now)
+        agent.outcomes.ejection.eject(
+            world.now,
+            is_silent=True,
+        )
         agent.outcomes.has_news = True
         world.advance(0.05)
         for host in world.balancers:
@@ -364,7 +375,10 @@
         world = World(many((serve, 6)))
         cut = set(list(world.agents)[:2])
         for host in cut:
-            world.agents[host].outcomes.ejection.eject(world.now)
+            world.agents[host].outcomes.ejection.eject(
+                world.now,
+                is_silent=True,
+            )
             world.agents[host].outcomes.has_news = True
         world.advance(0.1)
         world.cut_off = cut
@@ -418,7 +432,10 @@
         """It is back within seconds, and no request fails."""
         world = World(many((serve, 5)))
         host = next(iter(world.agents))
-        world.agents[host].outcomes.ejection.eject(world.now)
+        world.agents[host].outcomes.ejection.eject(
+            world.now,
+            is_silent=True,
+        )
         world.agents[host].outcomes.has_news = True
         ends = play(world, 5, each_tick=6)
         self.assertEqual(set(ends), {'good r-read', 'good r-write'})
--- a/tests/packets/test_ejection_oracle.py
+++ b/tests/packets/test_ejection_oracle.py
@@ -50,7 +50,7 @@
         """Let an agent find that its upstream fails."""
         host = f'10.0.0.{number}'
         agent = self.agents[host]
-        agent.outcomes.ejection.eject(self.now)
+        agent.outcomes.ejection.eject(self.now, is_silent=True)
         agent.outcomes.has_news = True
 
     @rule(number=st.sampled_from(HOSTS), service=st.sampled_from(('board',)))
@@ -84,7 +84,7 @@
         if not others or flow.key not in self.flows:
             return
         self._offer(others[0], EnvelopeKind.OPEN, make_packet(flow, SYN))
-        self.agents[others[0]].outcomes.ejection.eject(self.now)
+        self.agents[others[0]].outcomes.ejection.eject(self.now, is_silent=True)
         self._offer(others[0], EnvelopeKind.FORWARD, request)
         self.deliver_all()
 
