--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -65,7 +65,10 @@
     if not is_lost or ejection.is_taken(key) or not held.packets:
         return ()
     datagram = next(iter(held.packets.values())).envelope.content
-    if not acknowledges_upstream(state, state.flows[key], datagram):
+    flow = state.flows[key]
+    # Data that passed have opened the flow.
+    is_open = flow.caller_sequence is not None
+    if is_open or not acknowledges_upstream(state, flow, datagram):
         return ()
     fields = _describe(state, key, now - held.came)
     _forget(state, key, now, is_reset=True)
