--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
@@ -11,6 +11,7 @@
     'GOOD_WEIGHT',
     'GRACE_SECONDS',
     'LAST_RESORT_SECONDS',
+    'LONGEST_BAD_WAIT_SECONDS',
     'LONGEST_SILENCE_SECONDS',
     'LONGEST_WAIT_SECONDS',
     'LOST_WEIGHT',
@@ -96,6 +97,10 @@
 SHORTEST_WAIT_SECONDS: Final = 1.0
 LONGEST_WAIT_SECONDS: Final = 8.0
 
+#: Longest wait after a trial that was answered badly.  That costs a caller one
+#: try of a request that it may repeat; one without an answer all its time.
+LONGEST_BAD_WAIT_SECONDS: Final = 2.0
+
 #: An upstream that is ejected so soon after its return waits longer.
 REMEMBERED_SECONDS: Final = 8.0
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
@@ -48,7 +48,7 @@
         if now - self.returned_at > defaults.REMEMBERED_SECONDS:
             self.wait = 0
         self.is_out = True
-        self._begin_wait(now)
+        self._begin_wait(now, defaults.LONGEST_WAIT_SECONDS)
 
     def note_trial(self, key: bytes, now: float, *, is_good: bool) -> bool:
         """Note the outcome of a flow; return whether a trial failed.
@@ -60,7 +60,7 @@
             return False
         self.forced.discard(key)
         if not is_good:
-            self._begin_wait(now)
+            self._begin_wait(now, self._choose_longest())
             return True
         self.good_trials += 1
         self.update(now)
@@ -121,9 +121,14 @@
         elif self.wanted_since is None:
             self.wanted_since = now
 
-    def _begin_wait(self, now: float) -> None:
+    def _choose_longest(self) -> float:
+        if self.is_silent:
+            return defaults.LONGEST_WAIT_SECONDS
+        return max(self.wait, defaults.LONGEST_BAD_WAIT_SECONDS)
+
+    def _begin_wait(self, now: float, longest: float) -> None:
         longer = max(2 * self.wait, defaults.SHORTEST_WAIT_SECONDS)
-        self.wait = min(longer, defaults.LONGEST_WAIT_SECONDS)
+        self.wait = min(longer, longest)
         self.since = now
         self.good_trials = 0
         self.trials.clear()
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
@@ -66,9 +66,11 @@
     outcome: Outcome,
     now: float,
 ) -> Effects:
-    if not state.outcomes.ejection.note_trial(key, now, is_good=False):
+    ejection = state.outcomes.ejection
+    if key not in ejection.trials:
         return ()
-    state.outcomes.ejection.is_silent = outcome in SILENT_OUTCOMES
+    ejection.is_silent = outcome in SILENT_OUTCOMES
+    ejection.note_trial(key, now, is_good=False)
     state.outcomes.has_news = True
     trial = Decided('upstream_trial', _describe(state, key, outcome, now))
     return (trial, *give_up_all(state, now))
