--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -133,17 +133,23 @@
     if flow.work is None and not is_overtaken:
         return ()
     state.outcomes.answers += 1
-    outcome = _find_outcome(state, datagram)
+    # A request whose flow was closed first counts no more.
+    at_work = state.busy + (flow.work is None)
+    outcome = _find_outcome(state, datagram, at_work)
     if outcome is None:
         state.outcomes.ejection.forget(key)
         return ()
     return note_outcome(state, key, outcome, now)
 
 
-def _find_outcome(state: AgentState, datagram: bytes) -> Outcome | None:
+def _find_outcome(
+    state: AgentState,
+    datagram: bytes,
+    at_work: int,
+) -> Outcome | None:
     """Return what an answer says; None if it proves nothing."""
     status = state.read_status(datagram)
-    is_full = state.busy > state.slots
+    is_full = at_work > state.slots
     if state.format.says_not_run(datagram):
         if is_full or status == _MISDIRECTED:
             return None
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -95,6 +95,10 @@
         self.is_registered = False
         #: What its route says of later requests, if this process knows.
         self.terms: RouteTerms | None = None
+        #: Number of the upstream's opening packet, until it sends others.
+        self.opened_with: int | None = None
+        #: The request at work, if outcomes are judged.
+        self.work: Work | None = None
 
     def is_ahead(self, sequence: int) -> bool:
         """Return whether data with this number was not seen before."""
@@ -112,10 +116,6 @@
             sequences,
             key=lambda sequence: (sequence - latest) % _SEQUENCE_NUMBERS,
         )
-        #: Number of the upstream's opening packet, until it sends others.
-        self.opened_with: int | None = None
-        #: The request at work, if outcomes are judged.
-        self.work: Work | None = None
 
 
 class Held(NamedTuple):
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -7,6 +7,7 @@
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap.packets.features import NO_FEATURES
 from keelgap_agent.packets.outcomes import defaults
+from keelgap_agent.packets.state import Flow
 from tests.packets.building import ACK, FORMAT, SYN, make_packet, make_upstream
 from tests.packets.ejection_world import (
     GOOD,
@@ -125,8 +126,8 @@
         self.assertEqual(world.list_ejected(), [host])
         world = World([fail_all('shed'), serve, serve])
         agent = world.agents[host]
-        agent.busy = 40
-        agent.slots = 39
+        for _ in range(world.rows[0].slots):
+            agent.start_request(Flow(world.now), world.now)
         for _ in range(60):
             world.ask()
         self.assertEqual(world.list_ejected(), [])
