--- a/experiments/outage/bound.py
+++ b/experiments/outage/bound.py
@@ -8,7 +8,12 @@
 from experiments.outage.upstreams import COLD_FACTOR, COLD_SECONDS
 from experiments.outage.world import World
 
-__all__ = ('Served', 'compute_bound', 'count_served')
+__all__ = (
+    'Served',
+    'compute_bound',
+    'compute_bound_in_time',
+    'count_served',
+)
 
 
 class Served(NamedTuple):
@@ -67,6 +72,35 @@
     return served / len(callers)
 
 
+def compute_bound_in_time(world: World, since: float = 0) -> float:
+    """Return the share that could be answered in time, without an outage.
+
+    Earliest aim first; who cannot be in time any more takes no slot.  Of
+    those who ask after a time.
+    """
+    scenario = world.scenario
+    callers = world.population.callers
+    free: list[float] = [0 for _ in range(scenario.agents * scenario.slots)]
+    waiting: list[tuple[float, int]] = []
+    in_time = 0
+    arrived = 0
+    while arrived < len(callers) or waiting:
+        at = heapq.heappop(free)
+        if not waiting:
+            at = max(at, callers[arrived].asked)
+        while arrived < len(callers) and callers[arrived].asked <= at:
+            caller = callers[arrived]
+            due = caller.asked + caller.kind.aim
+            heapq.heappush(waiting, (due, arrived))
+            arrived += 1
+        due, number = heapq.heappop(waiting)
+        end = at + callers[number].work
+        is_in_time = end <= due
+        in_time += is_in_time and callers[number].asked >= since
+        heapq.heappush(free, end if is_in_time else at)
+    return in_time / sum(caller.asked >= since for caller in callers)
+
+
 def _find_outage(scenario: Scenario) -> _Outage:
     dark_at = scenario.dark_at
     if dark_at is None:
--- a/experiments/outage/population.py
+++ b/experiments/outage/population.py
@@ -9,10 +9,11 @@
 from keelgap.catalog.models import PacketRoute
 from tests.packets.building import FlowName
 
-__all__ = ('Population',)
+__all__ = ('PRESSER', 'Population')
+
+#: The host that makes more requests than others, where one does.
+PRESSER: Final = '100.65.0.1'
 
-#: Hosts that callers share.
-_HOSTS: Final = 1000
 _HOSTS_OF_NETWORK: Final = 250
 _PORTS: Final = 60000
 #: Work varies by this much around its mean, and up to a multiple of it.
@@ -66,8 +67,17 @@
 
     def _open_flow(self, caller: Caller) -> FlowName:
         route = self.routes[self.scenario.kinds.index(caller.kind)]
-        network, host = divmod(hash(caller.asked) % _HOSTS, _HOSTS_OF_NETWORK)
         port = next(self.numbers) % _PORTS + 1
-        flow = FlowName(f'100.64.{network}.{host + 1}', port, route)
+        flow = FlowName(self._choose_host(caller), port, route)
         self.flows[flow.key] = (flow, caller)
         return flow
+
+    def _choose_host(self, caller: Caller) -> str:
+        """Return the host of a caller, the same for each of its tries."""
+        scenario = self.scenario
+        draw = Random(caller.asked)
+        if scenario.presser and draw.random() < scenario.presser:
+            return PRESSER
+        number = draw.randrange(scenario.hosts)
+        network, host = divmod(number, _HOSTS_OF_NETWORK)
+        return f'100.64.{network}.{host + 1}'
--- a/experiments/outage/scenario.py
+++ b/experiments/outage/scenario.py
@@ -3,6 +3,8 @@
 from random import Random
 from typing import NamedTuple
 
+from keelgap.packets.features import NO_FEATURES, Features
+
 __all__ = ('Kind', 'Scenario', 'draw_scenario')
 
 
@@ -48,6 +50,13 @@
     slow: tuple[float, float] = (0, 1)
     #: Upstreams are replaced one after the other from this time on, or None.
     release_at: float | None = None
+    #: Share of all requests that one host makes.
+    presser: float = 0
+    #: Hosts that make the others, in equal parts.
+    hosts: int = 1000
+    #: What balancers decide, and what agents do.
+    balancer_features: Features = NO_FEATURES
+    agent_features: Features = NO_FEATURES
 
 
 def draw_scenario(seed: int) -> Scenario:
--- a/experiments/outage/world.py
+++ b/experiments/outage/world.py
@@ -148,7 +148,12 @@
         former = self.agents.get(host)
         if former is not None:
             former.upstream.stop()
-        state = AgentState(FORMAT, _SERVICE, self.now)
+        state = AgentState(
+            FORMAT,
+            _SERVICE,
+            self.now,
+            features=scenario.agent_features,
+        )
         self.agents[host] = _Agent(host, state, upstream)
         self.later(
             self.now + _AGENT_TICK, lambda: self._tick_agent(host, state)
@@ -168,7 +173,8 @@
         self._tell_all()
 
     def _start_balancer(self, host: str) -> None:
-        state = PacketState(FORMAT, 'a', self.now)
+        features = self.scenario.balancer_features
+        state = PacketState(FORMAT, 'a', self.now, features)
         self.balancers[host] = state
         self.later(
             self.now + _BALANCER_TICK,
@@ -259,6 +265,10 @@
                 self._post(effect.host, host, effect.envelope, state)
             elif isinstance(effect, balancer_effects.SendReset):
                 self._reset(effect.datagram)
+            elif isinstance(effect, balancer_effects.TellBalancers):
+                envelope = Envelope(effect.kind, 0, 0, 0, 0, 0, effect.content)
+                for other in sorted(self.balancers.keys() - {host}):
+                    self._post(other, host, envelope, state)
             elif isinstance(effect, balancer_effects.Decided):
                 self.events[effect.name] += 1
                 if effect.name == 'reset_no_taker':
--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -31,6 +31,11 @@
 from keelgap_agent.packets.refusals import find_refusal
 from keelgap_agent.packets.registration import register
 from keelgap_agent.packets.request_log import note_request
+from keelgap_agent.packets.room import (
+    NO_TIME,
+    choose_under_pressure,
+    compute_room_ms,
+)
 from keelgap_agent.packets.scheduling.order import (
     choose_next,
     has_room,
@@ -63,14 +68,18 @@
     envelope = event.envelope
     if envelope.slots:
         state.slots = envelope.slots
-    refusal = find_refusal(state, now) or refuse_ejected(state, key, event)
+    held = _make_held(state, event)
+    refusal = find_refusal(state, event, held) or refuse_ejected(
+        state, key, event
+    )
     if refusal is not None:
-        return _give_back(state, event, refusal)
+        return _give_back(state, event, refusal, held)
+    state.room.note_taken(held.priority, now)
     flow = Flow(now)
     if state.features.scheduling:
         flow.terms = read_opening(envelope)
     state.flows[key] = flow
-    state.held[key] = _make_held(state, event)
+    state.held[key] = held
     note_opening(state, key, event)
     state.cold.note_passed(now)
     passed = state.pass_on(event.sender, envelope)
@@ -119,7 +128,7 @@
         ready = [key for key, held in state.held.items() if held.packets]
         if not ready:
             break
-        key = choose_next(state, ready, now)
+        key = _choose_next(state, ready, now)
         effects.extend(_release(state, key, now))
     return tuple(effects)
 
@@ -183,9 +192,14 @@
     state: AgentState,
     event: EnvelopeArrived,
     reason: str,
+    held: Held,
 ) -> Effects:
     envelope = event.envelope
-    miss = state.give_back(event.sender, envelope)
+    room_ms = 0
+    if reason == NO_TIME:
+        state.room.note_refused(held.priority, event.now)
+        room_ms = compute_room_ms(state, held, event.now)
+    miss = state.give_back(event.sender, envelope, room_ms)
     fields = {
         'flow': state.format.describe_key(
             state.format.caller_key(envelope.content),
@@ -194,6 +208,7 @@
         'busy': state.busy,
         'held': len(state.held),
         'slots': state.slots,
+        'room_ms': room_ms,
     }
     return miss, Decided(reason, fields)
 
@@ -211,3 +226,10 @@
         'busy': state.busy,
         'waiting': len(state.held),
     }
+
+
+def _choose_next(state: AgentState, ready: list[bytes], now: float) -> bytes:
+    """Return the request that is passed on next."""
+    if state.room.is_pressed(now):
+        return choose_under_pressure(state, ready, now)
+    return choose_next(state, ready, now)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -148,7 +148,7 @@
     at_work: int,
 ) -> Outcome | None:
     """Return what an answer says; None if it proves nothing."""
-    status = state.read_status(datagram)
+    status = state.format.read_status(datagram)
     is_full = at_work > state.slots
     if state.format.says_not_run(datagram):
         if is_full or status == _MISDIRECTED:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/refusals.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/refusals.py
@@ -1,13 +1,20 @@
 """Why an upstream gets no new flow now."""
 
 from keelgap_agent.packets import defaults
-from keelgap_agent.packets.state import AgentState
+from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.room import NO_TIME, lacks_time
+from keelgap_agent.packets.state import AgentState, Held
 
 __all__ = ('find_refusal',)
 
 
-def find_refusal(state: AgentState, now: float) -> str | None:
+def find_refusal(
+    state: AgentState,
+    event: EnvelopeArrived,
+    held: Held,
+) -> str | None:
     """Return why a new flow is given back; None if it is taken."""
+    now = event.now
     if state.stopping_since is not None:
         return 'miss_closed'
     if state.is_evacuated:
@@ -19,4 +26,6 @@
         return 'miss_full'
     if len(state.held) >= state.slots * defaults.HELD_PER_SLOT:
         return 'miss_queue_full'
-    return None
+    if not state.features.admission:
+        return None
+    return NO_TIME if lacks_time(state, held, event.envelope, now) else None
--- a/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
@@ -58,7 +58,7 @@
     now: float,
 ) -> Effects:
     """Log a request with the status that its answer begins with."""
-    status = state.read_status(datagram)
+    status = state.format.read_status(datagram)
     if not status or not flow.requests:
         return ()
     request = flow.requests.pop(0)
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/room/__init__.py
@@ -0,0 +1,17 @@
+"""How much room an upstream has, and who surely gets none of it."""
+
+from keelgap_agent.packets.room.estimates import Room
+from keelgap_agent.packets.room.order import choose_under_pressure
+from keelgap_agent.packets.room.verdicts import (
+    NO_TIME,
+    compute_room_ms,
+    lacks_time,
+)
+
+__all__ = (
+    'NO_TIME',
+    'Room',
+    'choose_under_pressure',
+    'compute_room_ms',
+    'lacks_time',
+)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -165,6 +165,7 @@
             'waiting_later_requests': sum(
                 held.is_later for held in state.held.values()
             ),
+            'expected_wait_seconds': state.room.pace * len(state.held),
             'balancers_heard': len(state.balancers.greeted),
             'directory_nodes': len(state.registrar.streams),
             'directory_flows': len(state.directory.holders),
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -26,6 +26,7 @@
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.outcomes.state import Outcomes, Work
+from keelgap_agent.packets.room import Room
 from keelgap_agent.packets.scheduling.terms import RouteTerms
 from keelgap_agent.packets.scheduling.work import Workload
 
@@ -256,12 +257,12 @@
         """Start without flows; ``own`` is the host of this agent."""
         self.format = packet_format
         self.features = features
-        self.read_status = packet_format.read_status
         self.service_tag = compute_service_tag(service)
         self.balancers = Balancers()
         self.flows: dict[bytes, Flow] = {}
         self.registrar = Registrar(own, now)
         self.directory = Directory(now)
+        self.room = Room(now)
         self.cold = ColdBound(warm_up.excess, warm_up.slack, now)
         self.outcomes = Outcomes(now)
         #: Whether the operators took the availability zone out of service.
@@ -336,14 +337,24 @@
         envelope = Envelope(kind, hop, 0, 0, 0, self.service_tag, content)
         return SendToPeer(host, envelope)
 
-    def give_back(self, host: str, envelope: Envelope) -> SendToPeer:
-        """Return the effect that gives a packet back to its balancer."""
-        return self.send(
+    def give_back(
+        self,
+        host: str,
+        envelope: Envelope,
+        room_ms: int = 0,
+    ) -> SendToPeer:
+        """Return the effect that gives a packet back to its balancer.
+
+        ``room_ms`` says when there would be room, if that is the reason.
+        """
+        miss = self.send(
             host,
             EnvelopeKind.MISS,
             envelope.content,
             envelope.hop,
         )
+        told = miss.envelope._replace(left_ms=room_ms)
+        return miss._replace(envelope=told)
 
     def pass_on(self, host: str, envelope: Envelope) -> SendToUpstream:
         """Return the effect that hands a packet to the upstream.
@@ -398,6 +409,7 @@
         weight = defaults.ANSWER_WEIGHT if self.answer_seconds else 1
         self.answer_seconds += weight * (taken - self.answer_seconds)
         self.cancel_request(flow)
+        self.room.note_answer(now, is_full=self.busy >= self.slots)
 
     def cancel_request(self, flow: Flow) -> None:
         """Note that the upstream does not work on a flow's request."""
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -12,9 +12,11 @@
 from keelgap.catalog.models import PacketRoute
 from keelgap.packets.envelopes import CallerWait
 from keelgap.packets.openings import OPENING_SECONDS, estimate_wait
+from keelgap.packets.refusals import RefusedCaller
 from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.shares import CallerShares
 
-__all__ = ('CallerAges', 'Waited', 'make_wait')
+__all__ = ('CallerAges', 'Waited', 'get_host', 'make_wait')
 
 _MILLISECONDS: Final = 1000
 
@@ -61,6 +63,8 @@
     requested: float
     #: How many seconds earlier that may have been.
     in_doubt: float = 0
+    #: How often the request was refused for want of room.
+    refusals: int = 0
 
 
 class CallerAges:
@@ -70,6 +74,10 @@
         """Start without any."""
         self.openings: dict[bytes, _Opening] = {}
         self.by_host: dict[bytes, list[bytes]] = {}
+        self.shares = CallerShares()
+        #: Refused callers of whom the other balancers were not told yet.
+        self.untold: list[RefusedCaller] = []
+        self.told_at = float('-inf')
 
     def note_opening(self, key: bytes, copies: int, now: float) -> Waited:
         """Return for how long the caller has waited."""
@@ -85,6 +93,16 @@
             opening.in_doubt,
         )
 
+    def was_refused(self, key: bytes) -> bool:
+        """Return whether this flow, or the try before it, was refused."""
+        opening = self.openings.get(key)
+        return opening is not None and opening.refusals > 0
+
+    def get_age(self, key: bytes, now: float) -> float:
+        """Return for how many seconds the caller of an opening waits."""
+        opening = self.openings.get(key)
+        return 0 if opening is None else now - opening.requested
+
     def is_given_up(self, key: bytes, now: float) -> bool:
         """Return whether the caller of an opening no longer waits for it."""
         opening = self.openings.get(key)
@@ -125,10 +143,38 @@
         for key in old:
             self._remove(key)
 
+    def note_refusal(self, key: bytes, now: float) -> None:
+        """Expect the caller of a refused flow again, unless it gives up.
+
+        If it were expected after its last try, the next request from its
+        host would count as its retry, and as late.
+        """
+        opening = self.openings.get(key)
+        if opening is None:
+            return
+        self._remove(key)
+        age_ms = round((now - opening.requested) * _MILLISECONDS)
+        caller = RefusedCaller(key, age_ms, opening.refusals + 1)
+        if caller.refusals < defaults.CALLER_TRIES:
+            self.expect_again(caller, now)
+            self.untold.append(caller)
+
+    def expect_again(self, caller: RefusedCaller, now: float) -> None:
+        """Take the next new flow of a refused caller for a retry."""
+        if len(self.openings) >= defaults.MAX_OPENINGS:
+            return
+        since = defaults.GIVE_UP_SECONDS + defaults.RETRY_SECONDS
+        opening = _Opening(
+            now - since + defaults.REFUSED_SECONDS,
+            now - caller.age_ms / _MILLISECONDS,
+            refusals=caller.refusals,
+        )
+        self._add(caller.key, opening)
+
     def _take_given_up(self, key: bytes, attempted: float) -> _Opening:
         """Return a new flow, with the age of the one it may be a retry of."""
         limit = attempted - defaults.GIVE_UP_SECONDS
-        for other in self.by_host.get(_get_host(key), ()):
+        for other in self.by_host.get(get_host(key), ()):
             opening = self.openings[other]
             if opening.attempted <= limit:
                 self._remove(other)
@@ -137,18 +183,18 @@
 
     def _add(self, key: bytes, opening: _Opening) -> None:
         if key not in self.openings:
-            self.by_host.setdefault(_get_host(key), []).append(key)
+            self.by_host.setdefault(get_host(key), []).append(key)
         self.openings[key] = opening
 
     def _remove(self, key: bytes) -> None:
         self.openings.pop(key)
-        host = _get_host(key)
+        host = get_host(key)
         keys = self.by_host[host]
         keys.remove(key)
         if not keys:
             self.by_host.pop(host)
 
 
-def _get_host(key: bytes) -> bytes:
+def get_host(key: bytes) -> bytes:
     """Return the octets of a flow key that are the caller's address."""
     return key[:4]
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -7,6 +7,20 @@
 
 __all__ = (
     'ANY_TRIAL_SECONDS',
+    'MAX_ASKED_FOR_ROOM',
+    'MAX_REFUSED_TOLD',
+    'REFUSED_PAUSE_SECONDS',
+    'REFUSED_SECONDS',
+    'CALLER_TRIES',
+    'FEWEST_WITHOUT_TIME',
+    'LEVEL_FALL',
+    'LEVEL_JUMP',
+    'LEVEL_PAUSE_SECONDS',
+    'LEVEL_RISE',
+    'LEVEL_START',
+    'MAX_CALLERS',
+    'PRESSED_SECONDS',
+    'SHARE_SECONDS',
     'DIRECTORY_SECONDS',
     'DRAINED_SECONDS',
     'FEWEST_WIDE_LINKS',
@@ -283,3 +297,52 @@
 
 #: Longest planned stop; the platform kills after 6 s.
 STOP_SECONDS: Final = 4.5
+
+#: So many agents must lack time for a new flow before it is refused: the
+#: reports that chose them were up to 50 ms old.
+FEWEST_WITHOUT_TIME: Final = 3
+
+#: Flows of so many seconds count towards a caller's share: one balancer among
+#: many sees a few of each caller's in this time.
+SHARE_SECONDS: Final = 20.0
+
+#: Callers whose requests are counted at once, 1 MB.  With more of them those
+#: silent for longest are forgotten, and nobody who presses is among them.
+MAX_CALLERS: Final = 4096
+
+#: Equal shares are kept for so long after a refusal.
+PRESSED_SECONDS: Final = 1.0
+
+#: Factors on the level of equal shares with each flow that is refused below
+#: it and with each that is offered.  It finds another level within about fifty
+#: refusals, and settles where one in ten below it is refused: so many always
+#: ask that no room is left unused.
+LEVEL_FALL: Final = 0.95
+LEVEL_RISE: Final = 1.005
+#: The first level, as a multiple of what callers got on the average: nobody
+#: is over it by chance alone.
+LEVEL_START: Final = 2.0
+
+#: Factor where an upstream has a free slot, and pause between two of these
+#: steps: reports are so old.  Ten times as much within 1.2 s.
+LEVEL_JUMP: Final = 1.1
+LEVEL_PAUSE_SECONDS: Final = 0.05
+
+#: How often a caller opens a flow for one request at most.
+CALLER_TRIES: Final = 3
+
+#: For how long a refused caller is expected back: its pause between two tries
+#: and a little more.  A new request of its host would be taken for the retry.
+REFUSED_SECONDS: Final = RETRY_PAUSE_SECONDS + 2 * TRAVEL_SECONDS
+
+#: Pause between messages about refused callers, who come back no sooner than
+#: some ten milliseconds later.
+REFUSED_PAUSE_SECONDS: Final = 0.02
+
+#: Balancers that are told of refused callers, 50 messages a second each.  In a
+#: larger fleet retries that meet another balancer count as new.
+MAX_REFUSED_TOLD: Final = 64
+
+#: So many agents are asked for room at most, a few ten milliseconds in which
+#: the caller could have tried again.
+MAX_ASKED_FOR_ROOM: Final = 10
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
@@ -11,6 +11,7 @@
     'PacketEffect',
     'SendReset',
     'SendToAgent',
+    'TellBalancers',
 )
 
 
@@ -21,6 +22,13 @@
     envelope: Envelope
 
 
+class TellBalancers(NamedTuple):
+    """Send a message of this kind to the other balancers."""
+
+    kind: int
+    content: bytes
+
+
 class SendReset(NamedTuple):
     """Reset the flow of this packet towards its caller."""
 
@@ -46,4 +54,6 @@
     seconds: float
 
 
-PacketEffect = Observed | SendToAgent | SendReset | CatchUp | Decided
+PacketEffect = (
+    Observed | SendToAgent | TellBalancers | SendReset | CatchUp | Decided
+)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
@@ -16,6 +16,7 @@
 from keelgap.runtime.lines import MAX_NAMED
 from keelgap.sockets import send_datagram
 from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.effects import TellBalancers
 from keelgap_balancer.packets.gossip import (
     Gossip,
     MalformedGossip,
@@ -74,6 +75,21 @@
             asks = is_next and self.peers.probe(host, now)
             self._tell_peer(host, asks=asks)
 
+    def tell_all(self, effect: TellBalancers) -> None:
+        """Send a message that reducers exchange to the other balancers."""
+        envelope = Envelope(
+            effect.kind,
+            hop=0,
+            slots=0,
+            priority=0,
+            left_ms=0,
+            service_tag=0,
+            content=effect.content,
+        )
+        datagram = pack_envelope(envelope, self.make_stamp())
+        for host in tuple(self.peers.heard)[: defaults.MAX_REFUSED_TOLD]:
+            send_datagram(self.sock, datagram, (host, self.peer_port))
+
     def take(self, envelope: Envelope, host: str) -> None:
         """Take a message of another balancer."""
         try:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -3,7 +3,15 @@
 from typing import Final, NamedTuple
 
 from keelgap.catalog.models import PacketRoute
-from keelgap_balancer.packets.ages import make_wait
+from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.admission import (
+    Excess,
+    find_excess,
+    get_queue,
+    has_asked_enough,
+    list_full,
+)
+from keelgap_balancer.packets.ages import get_host, make_wait
 from keelgap_balancer.packets.effects import (
     Decided,
     PacketEffect,
@@ -12,6 +20,7 @@
 from keelgap_balancer.packets.ejection import choose_kind, choose_trial
 from keelgap_balancer.packets.parking import park
 from keelgap_balancer.packets.placement import choose_service, choose_taker
+from keelgap_balancer.packets.refusals import note_refusal
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
 
 __all__ = ('Opening', 'open_flow', 'place_elsewhere')
@@ -29,6 +38,8 @@
     now: float
     #: How many agents were asked before.
     hop: int
+    #: Milliseconds until the agent asked last has room, if it lacks time.
+    room_ms: int = 0
 
 
 def open_flow(
@@ -50,7 +61,7 @@
     if owner is not None and _keeps_choice(state, owner, now):
         return _offer(state, owner, opening)
     if owner is None:
-        return _place(state, opening, ())
+        return _place_new(state, opening)
     silent: tuple[str, ...] = (owner.host,)
     if choose_taker(state, route, key, now, silent) is None:
         # It may only be starting anew, and nobody else is there to ask.
@@ -58,6 +69,52 @@
     return _place(state, opening, silent)
 
 
+def _place_new(state: PacketState, opening: Opening) -> Effects:
+    """Offer a flow that was not seen before, unless its caller had enough."""
+    if not state.features.admission:
+        return _place(state, opening, ())
+    route = opening.route
+    excess = find_excess(state, route, opening.key, opening.now)
+    if excess is not None and _may_reset(state, opening):
+        return _reset_over_share(state, opening, excess)
+    host = get_host(opening.key)
+    queue = get_queue(route, opening.key)
+    state.ages.shares.note_offered(queue, host, opening.now)
+    return _place(state, opening, ())
+
+
+def _may_reset(state: PacketState, opening: Opening) -> bool:
+    """Return whether a flow is surely not open elsewhere.
+
+    A copy of its first packet may come after another balancer offered it, and
+    the answer be on its way.
+    """
+    is_copy = state.format.copies(opening.datagram) > 0
+    return not is_copy or state.ages.was_refused(opening.key)
+
+
+def _reset_over_share(
+    state: PacketState,
+    opening: Opening,
+    excess: Excess,
+) -> Effects:
+    """Reset a new flow in favour of callers that got less."""
+    copies = state.format.copies(opening.datagram)
+    state.ages.note_opening(opening.key, copies, opening.now)
+    fields = {
+        'flow': state.format.describe_key(opening.key),
+        'route': opening.route.name,
+        'priority': opening.route.priority,
+        'got': round(excess.got, 1),
+        'level': round(excess.level, 1),
+    }
+    return (
+        SendReset(opening.datagram),
+        Decided('reset_over_share', fields),
+        *note_refusal(state, opening.route, opening.key, opening.now),
+    )
+
+
 def _keeps_choice(state: PacketState, owner: AgentView, now: float) -> bool:
     """Return whether a copy of an opening packet goes the same way."""
     is_there = owner.gone_since is None and not owner.is_quiet(now)
@@ -156,4 +213,45 @@
     """Offer a flow that its first choice did not take to the next."""
     search = state.searches.setdefault(opening.key, Search(opening.now))
     search.missed.add(view.host)
+    search.lacks_time += bool(opening.room_ms)
+    if state.features.admission and opening.room_ms:
+        return _place_or_refuse(state, opening, search)
     return _place(state, opening, tuple(search.missed))
+
+
+def _place_or_refuse(
+    state: PacketState,
+    opening: Opening,
+    search: Search,
+) -> Effects:
+    """Offer a flow to another agent, or reset it if none may have room."""
+    key = opening.key
+    route = opening.route
+    full = list_full(state, route, key, opening.now)
+    excluded = tuple(search.missed)
+    if has_asked_enough(search):
+        excluded = tuple(full | search.missed)
+    taker = choose_taker(state, route, key, opening.now, excluded)
+    if taker is not None and opening.hop < defaults.MAX_ASKED_FOR_ROOM:
+        return _place(state, opening, excluded)
+    state.searches.pop(key, None)
+    state.owners.forget(key)
+    if not _may_reset(state, opening):
+        return (Decided('no_room_for_copy'),)
+    host = get_host(key)
+    queue = get_queue(route, key)
+    state.ages.shares.note_refused(queue, host, opening.now)
+    fields = {
+        'flow': state.format.describe_key(key),
+        'route': route.name,
+        'priority': route.priority,
+        'asked': opening.hop,
+        'full': len(full),
+        'room_ms': opening.room_ms,
+        'milliseconds': round((opening.now - search.started) * _MILLISECONDS),
+    }
+    return (
+        SendReset(opening.datagram),
+        Decided('reset_no_room', fields),
+        *note_refusal(state, route, key, opening.now),
+    )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -45,6 +45,7 @@
     place_elsewhere,
 )
 from keelgap_balancer.packets.parking import park, take_parked
+from keelgap_balancer.packets.refusals import take_refused, tell_refused
 from keelgap_balancer.packets.search import (
     continue_search,
     pass_over_silent,
@@ -126,6 +127,8 @@
 
 
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
+    if event.envelope.kind == EnvelopeKind.REFUSED:
+        return take_refused(state, event)
     view = state.by_host.get(event.sender)
     if view is None:
         return (Decided('drop_unknown_sender'),)
@@ -234,7 +237,8 @@
         return () if is_opening else _forward_again(state, owner, event)
     if is_opening:
         hop = event.envelope.hop + 1
-        opening = Opening(key, route, datagram, event.now, hop)
+        room_ms = event.envelope.left_ms
+        opening = Opening(key, route, datagram, event.now, hop, room_ms)
         return place_elsewhere(state, opening, view)
     search = state.searches.setdefault(key, Search(event.now))
     search.missed.add(view.host)
@@ -287,6 +291,7 @@
     forget_former_routes(state, now)
     kept = () if state.is_newly_informed(now) else resume_kept(state, now)
     return (
+        *tell_refused(state, now),
         *given_up,
         *kept,
         *pass_over_silent(state, now),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -34,6 +34,7 @@
     PacketEffect,
     SendReset,
     SendToAgent,
+    TellBalancers,
 )
 from keelgap_balancer.packets.events import (
     CallerPacket,
@@ -110,13 +111,6 @@
         self.rotation = Rotation(now)
         self.caller_socket = sockets.traffic
         self.peer_socket = sockets.peers
-        self.handlers = MappingProxyType[type, Callable[[Any], None]]({
-            SendToAgent: self._send_to_agent,
-            SendReset: self._send_reset,
-            CatchUp: self._catch_up,
-            Decided: self.decisions.take,
-            Observed: self._observe,
-        })
         self.catalog = CatalogDriver(
             self.loop,
             process.lines,
@@ -133,6 +127,14 @@
             self.state.make_stamp,
             self.control.port,
         )
+        self.handlers = MappingProxyType[type, Callable[[Any], None]]({
+            SendToAgent: self._send_to_agent,
+            TellBalancers: self.gossip.tell_all,
+            SendReset: self._send_reset,
+            CatchUp: self._catch_up,
+            Decided: self.decisions.take,
+            Observed: self._observe,
+        })
 
     def start(self) -> None:
         """Begin to learn and to serve."""
@@ -252,6 +254,7 @@
             'known_flows': len(state.owners),
             'searches': len(state.searches),
             'parked_flows': len(state.parked),
+            'callers_counted': len(state.ages.shares.counts),
             'balancers_heard': len(self.peers.heard),
             'yields_to_wider_links': self.rotation.yields,
         }
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -189,6 +189,7 @@
         'heard',
         'is_told',
         'kept_since',
+        'lacks_time',
         'latest',
         'lookups',
         'may_lack_entries',
@@ -228,6 +229,8 @@
         self.asked: list[str] = []
         #: Hosts that said no.
         self.missed: set[str] = set()
+        #: How many hosts said no because of a new flow's time.
+        self.lacks_time = 0
         #: Host asked last, that has not answered.
         self.pending: str | None = None
         self.pending_since = now
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -90,6 +90,9 @@
     #: Balancer to agent: as OPEN, of a request that its caller may repeat,
     #: to find out whether an ejected upstream serves again.
     TRY = 15
+    #: Balancer to balancer: callers that were refused a moment ago; a list of
+    #: RefusedCaller follows.
+    REFUSED = 16
 
 
 _KINDS: Final = frozenset(int(kind) for kind in EnvelopeKind)
