--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -97,6 +97,7 @@
     state.searches.pop(key, None)
     state.owners.forget(key)
     state.ages.note_reset(key, opening.now)
+    state.placing.spans.forget(key)
     fields = {
         'flow': state.format.describe_key(key),
         'route': opening.route.name,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -15,6 +15,7 @@
     'LOAD_COST',
     'LONG_FLOW_SECONDS',
     'MANY_CANDIDATES',
+    'MAX_SPANS',
     'TELL_SECONDS',
     'TRUSTED_SECONDS',
     'WATCHED_FLOWS',
@@ -59,6 +60,10 @@
 #: Flows of each route that are watched at a time.
 WATCHED_FLOWS: Final = 16
 
+#: Routes of which the share of long flows is kept: a bound of memory, of
+#: half a megabyte.  It is learned anew within a second.
+MAX_SPANS: Final = 4096
+
 #: Weight of the latest flow in the share of long flows of its route.
 FLOW_SPAN_WEIGHT: Final = 0.1
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/spans.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/spans.py
@@ -39,6 +39,12 @@
             is_long = now - began >= defaults.LONG_FLOW_SECONDS
             self._learn(route_name, is_long=is_long)
 
+    def forget(self, key: bytes) -> None:
+        """Learn nothing from a flow that nobody took."""
+        watched = self.watched.pop(key, None)
+        if watched is not None:
+            self._release(watched[0])
+
     def expire(self, now: float) -> None:
         """Learn from flows that are open for long."""
         limit = now - defaults.LONG_FLOW_SECONDS
@@ -52,7 +58,15 @@
         return self.long_shares.get(route_name, _UNKNOWN)
 
     def _learn(self, route_name: str, *, is_long: bool) -> None:
-        self.counts[route_name] -= 1
+        self._release(route_name)
         share = self.get_long_share(route_name)
         weight = defaults.FLOW_SPAN_WEIGHT
+        if len(self.long_shares) >= defaults.MAX_SPANS:
+            # Names of dropped routes fill it.
+            self.long_shares.clear()
         self.long_shares[route_name] = share + weight * (is_long - share)
+
+    def _release(self, route_name: str) -> None:
+        self.counts[route_name] -= 1
+        if not self.counts[route_name]:
+            self.counts.pop(route_name)
--- a/tests/packets/test_placement.py
+++ b/tests/packets/test_placement.py
@@ -306,6 +306,27 @@
         self.assertLess(spans.get_long_share(BRIEF.name), 0.2)
         self.assertGreater(spans.get_long_share(LONG.name), 0.8)
 
+    def test_flows_that_nobody_took(self) -> None:
+        """They neither stay nor end, and others are watched."""
+        state = make_state(SMALL)
+        spans = state.placing.spans
+        for number in range(2 * defaults.WATCHED_FLOWS):
+            spans.watch(make_key(number), BRIEF.name, 0)
+            spans.forget(make_key(number))
+        spans.expire(5)
+        self.assertEqual(spans.long_shares, {})
+        spans.watch(make_key(1), BRIEF.name, 5)
+        self.assertEqual(len(spans.watched), 1)
+
+    def test_routes_are_bounded(self) -> None:
+        """Operators name each route anew, again and again."""
+        spans = make_state(SMALL).placing.spans
+        for number in range(defaults.MAX_SPANS + 10):
+            spans.watch(make_key(number), f'r{number}', 0)
+            spans.note_end(make_key(number), 0.1)
+        self.assertLessEqual(len(spans.long_shares), defaults.MAX_SPANS)
+        self.assertEqual(spans.counts, {})
+
     def test_watched_flows_are_bounded(self) -> None:
         """A flood of openings that nobody ends."""
         state = make_state(SMALL)
