--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -9,6 +9,8 @@
     'COVERED_SECONDS',
     'ENDED_SECONDS',
     'EXTRA_SLOTS',
+    'FEWEST_PACE_SAMPLES',
+    'FIRST_FAILING_STATUS',
     'FIRST_SLOTS',
     'FLOW_LIFE_SECONDS',
     'FLOW_SECONDS',
@@ -20,6 +22,7 @@
     'MAX_SEEN_REQUESTS',
     'OFFER_SECONDS',
     'OUTAGE_SECONDS',
+    'PACE_SAMPLES',
     'REGISTERED_SECONDS',
     'REGISTER_SECONDS',
     'RENEW_SECONDS',
@@ -47,6 +50,19 @@
 #: Weight of the latest answer in the mean time to an answer.
 ANSWER_WEIGHT: Final = 0.2
 
+#: Answers over which the work of a request is averaged.  Requests of one
+#: route differ by as much as their mean, so that the mean of 32 is right within
+#: a fifth; an upstream that turns slow is known after as many.
+PACE_SAMPLES: Final = 32
+
+#: With fewer answers the upstream's pace is not told: callers would be sent
+#: away for a single request that took long.
+FEWEST_PACE_SAMPLES: Final = 6
+
+#: Answers from this status on show that a request failed, and not how long one
+#: takes that is served.
+FIRST_FAILING_STATUS: Final = 500
+
 #: Span in which new flows of a cold upstream are counted.  The operators'
 #: bound is on any second; a tenth more is for packets that overtake others
 #: between this process and its upstream.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -201,6 +201,7 @@
     answered: Effects = ()
     flags = state.format.flags(datagram)
     if state.format.data_length(datagram):
+        state.note_work(flow, datagram, now)
         state.end_request(flow, now)
         answered = tell_answer(state, key, flow, datagram, now)
     if flags & ENDS_FLOW:
@@ -254,11 +255,14 @@
         *tell_watchers(state, now),
     )
     report = state.make_report()
-    waited = now - state.reported_at
-    if report == state.reported and waited < defaults.REPORT_IDLE_SECONDS:
+    waited = now - state.balancers.reported_at
+    if (
+        report == state.balancers.reported
+        and waited < defaults.REPORT_IDLE_SECONDS
+    ):
         return (*released, *told, *_report_to_owed(state))
-    state.reported = report
-    state.reported_at = now
+    state.balancers.reported = report
+    state.balancers.reported_at = now
     return (*released, *told, *_report_to_all(state, now))
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -24,6 +24,7 @@
 from keelgap_agent.packets.directory_state import Directory
 from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.pace import Pace
 
 __all__ = (
     'AgentState',
@@ -63,6 +64,7 @@
         'caller_sequence',
         'confirmed',
         'ended',
+        'found_busy',
         'is_registered',
         'requests',
         'seen',
@@ -80,6 +82,8 @@
         self.ended = False
         #: Since when the upstream works on a request of it.
         self.busy_since: float | None = None
+        #: Requests at the upstream when that one came.
+        self.found_busy = 0
         #: Requests seen and not answered yet, oldest first; for logs only.
         self.requests: list[SeenRequest] = []
         #: Balancer to tell once the upstream shows that it holds the flow.
@@ -128,7 +132,7 @@
 class Balancers:
     """The balancers that send here, with a number each for marks."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         """Start with none."""
         self.hosts: list[str] = []
         self.numbers: dict[str, int] = {}
@@ -138,6 +142,9 @@
         self.report_formats: dict[str, int] = {}
         #: Those that offered a flow since the last reports.
         self.owed: set[str] = set()
+        #: What all of them were told last, and when.
+        self.reported: LoadReport | None = None
+        self.reported_at = now
 
     def make_mark(self, host: str, hop: int, kind: int) -> int:
         """Return the mark that names where a packet came from."""
@@ -224,7 +231,7 @@
         self.find_request_id = packet_format.find_request_id
         self.read_status = packet_format.read_status
         self.service_tag = compute_service_tag(service)
-        self.balancers = Balancers()
+        self.balancers = Balancers(now)
         self.flows: dict[bytes, Flow] = {}
         self.registrar = Registrar(own, now)
         self.directory = Directory(now)
@@ -238,6 +245,7 @@
         self.held: dict[bytes, Held] = {}
         self.slots = defaults.FIRST_SLOTS
         self.answer_seconds: float = 0
+        self.pace = Pace()
         #: When an opening packet came last.
         self.opening_at = float('-inf')
         #: When the first came after a time without any.
@@ -248,8 +256,6 @@
         self.store_missed_at = float('-inf')
         self.stopping_since: float | None = None
         self.swept_at = now
-        self.reported: LoadReport | None = None
-        self.reported_at = now
 
     def change_service(self, service: str) -> None:
         """Take no packets of another service any more."""
@@ -276,6 +282,7 @@
             answer_ms=int(self.answer_seconds * _MILLISECONDS),
             closed=self.stopping_since is not None or self.is_evacuated,
             waiting=len(self.held),
+            work_ms=self.pace.milliseconds,
         )
 
     def send(
@@ -337,6 +344,7 @@
         """Note data of a caller: the upstream has work."""
         if flow.busy_since is None:
             flow.busy_since = now
+            flow.found_busy = self.busy
             self.busy += 1
 
     def end_request(self, flow: Flow, now: float) -> None:
@@ -349,6 +357,14 @@
         self.answer_seconds += weight * (taken - self.answer_seconds)
         self.cancel_request(flow)
 
+    def note_work(self, flow: Flow, datagram: bytes, now: float) -> None:
+        """Learn from an answer how long requests keep a slot at work."""
+        if not self.features.placement or flow.busy_since is None:
+            return
+        if self.read_status(datagram) < defaults.FIRST_FAILING_STATUS:
+            taken = now - flow.busy_since
+            self.pace.note(taken, flow.found_busy, self.slots)
+
     def cancel_request(self, flow: Flow) -> None:
         """Note that the upstream does not work on a flow's request."""
         if flow.busy_since is not None:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
@@ -27,7 +27,7 @@
         due = _take_next(state)
     else:
         due = [view for view in state.by_host.values() if view.hello_at <= now]
-    is_alone = state.near_agents < defaults.MIN_NEAR_AGENTS
+    is_alone = state.greeting.near_agents < defaults.MIN_NEAR_AGENTS
     effects = []
     for view in due:
         view.expect_answer(now)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -202,7 +202,8 @@
     _forget_answers(state, by_host)
     state.by_host = by_host
     state.unspoken.clear()
-    state.near_agents = sum(map(state.is_near, by_host.values()))
+    near_agents = sum(map(state.is_near, by_host.values()))
+    state.greeting.near_agents = near_agents
     state.by_service = {
         service: tuple(views) for service, views in by_service.items()
     }
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -12,6 +12,7 @@
 )
 from keelgap_balancer.packets.parking import park
 from keelgap_balancer.packets.placement import choose_service, choose_taker
+from keelgap_balancer.packets.placing.notes import note_placement
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
 
 __all__ = ('Opening', 'open_flow', 'place_elsewhere')
@@ -75,7 +76,8 @@
         return _refuse(state, opening)
     state.owners.put(key, taker)
     taker.picks += 1
-    return _offer(state, taker, opening)
+    told = note_placement(state, taker, opening.route, key, opening.now)
+    return (*_offer(state, taker, opening), *told)
 
 
 def _refuse(state: PacketState, opening: Opening) -> Effects:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -8,6 +8,11 @@
 
 from keelgap.catalog.models import PacketRoute
 from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.placing.candidates import list_candidates
+from keelgap_balancer.packets.placing.delays import (
+    choose_first_to_answer,
+    measure_service,
+)
 from keelgap_balancer.packets.state import AgentView, PacketState
 
 __all__ = ('choose_service', 'choose_taker')
@@ -58,20 +63,24 @@
     while the store is away, and come back.
     """
     service = choose_service(route, key)
-    others = [
-        view
-        for view in state.by_service.get(service, ())
-        if view.host not in excluded and not state.is_evacuated(view)
-    ]
-    members = [view for view in others if view.is_open()]
-    if not members:
-        members = [view for view in others if view.may_return(now)]
-    answering = [view for view in members if not view.is_quiet(now)]
-    candidates = answering or members
+    candidates = list_candidates(state, service, key, now, excluded)
     if not candidates:
         return None
+    duty = _compute_duty(candidates)
+    if state.features.placement:
+        state.placing.waits = None
+        usual = measure_service(candidates, duty)
+        if usual is not None:
+            return choose_first_to_answer(
+                state,
+                usual,
+                candidates,
+                route.name,
+                key,
+                now,
+            )
     typical = _Typical(
-        _compute_duty(candidates),
+        duty,
         _compute_median([view.report.answer_ms for view in candidates]),
     )
     return min(
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -0,0 +1,94 @@
+"""Who may take a new flow; of very many, a few."""
+
+from collections.abc import Container, Iterable, Sequence
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+from keelgap_balancer.packets.placing import defaults
+from keelgap_balancer.packets.placing.memory import Order
+from keelgap_balancer.packets.state import AgentView, PacketState
+
+__all__ = ('list_candidates',)
+
+_HALF_BITS: Final = 32
+
+
+def list_candidates(
+    state: PacketState,
+    service: str,
+    key: bytes,
+    now: float,
+    excluded: Container[str],
+) -> list[AgentView]:
+    """Return the agents among which the place of a flow is decided."""
+    views = state.by_service.get(service, ())
+    if state.features.placement and len(views) > defaults.MANY_CANDIDATES:
+        drawn = _draw(state, service, key)
+        candidates = _choose_able(state, drawn, now, excluded)
+        if any(view.is_open() for view in candidates):
+            return candidates
+    return _choose_able(state, views, now, excluded)
+
+
+def _choose_able(
+    state: PacketState,
+    views: Iterable[AgentView],
+    now: float,
+    excluded: Container[str],
+) -> list[AgentView]:
+    """Return those that take flows, as far as is known.
+
+    Those that owe an answer come last, and those whose entry went only where
+    there is nobody else.
+    """
+    others = [
+        view
+        for view in views
+        if view.host not in excluded and not state.is_evacuated(view)
+    ]
+    members = [view for view in others if view.is_open()]
+    if not members:
+        members = [view for view in others if view.may_return(now)]
+    answering = [view for view in members if not view.is_quiet(now)]
+    return answering or members
+
+
+def _draw(state: PacketState, service: str, key: bytes) -> list[AgentView]:
+    """Return a few by the hash of a flow's key, most of them near.
+
+    All balancers of an availability zone draw the same ones for a flow.
+    """
+    order = _get_order(state, service)
+    point = xxh3_64_intdigest(key)
+    near = _pick(order.near, point, defaults.DRAWN_NEAR)
+    count = defaults.DRAWN_FAR + defaults.DRAWN_NEAR - len(near)
+    return [*near, *_pick(order.far, point, count)]
+
+
+def _get_order(state: PacketState, service: str) -> Order[AgentView]:
+    """Return the order of a service; made anew when its members change."""
+    views = state.by_service[service]
+    order = state.placing.orders.get(service)
+    if order is None or order.views is not views:
+        ordered = sorted(views, key=lambda view: view.seed)
+        order = Order(
+            views,
+            tuple(filter(state.is_near, ordered)),
+            tuple(view for view in ordered if not state.is_near(view)),
+        )
+        state.placing.orders[service] = order
+    return order
+
+
+def _pick(
+    views: Sequence[AgentView],
+    point: int,
+    count: int,
+) -> Sequence[AgentView]:
+    length = len(views)
+    if length <= count:
+        return views
+    step = (point >> _HALF_BITS) % (length - 1) + 1
+    places = {(point + step * number) % length for number in range(count)}
+    return [views[place] for place in places]
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -0,0 +1,76 @@
+"""Default values of placement by expected answers, each with its reason."""
+
+from typing import Final
+
+__all__ = (
+    'ALIKE_PACE',
+    'COST_STEP',
+    'DRAWN_FAR',
+    'DRAWN_NEAR',
+    'FAR_MARGIN',
+    'FAR_MILLISECONDS',
+    'FLOW_SPAN_WEIGHT',
+    'FRESH_SECONDS',
+    'LEAST_COST',
+    'LOAD_COST',
+    'LONG_FLOW_SECONDS',
+    'MANY_CANDIDATES',
+    'TELL_SECONDS',
+    'TRUSTED_SECONDS',
+    'WATCHED_FLOWS',
+)
+
+#: Upstreams whose work differs from the usual by less than this factor count
+#: as alike: the mean of 32 answers is right within a fifth.
+ALIKE_PACE: Final = 1.25
+
+#: Costs that differ by less than this factor count as equal: a request more
+#: or less at three slots, which reports are behind by anyhow.
+COST_STEP: Final = 1.25
+
+#: Costs below this are equal; none is as low with any slots.
+LEAST_COST: Final = 0.001
+
+#: What it costs to meet an upstream whose slots are all taken, beside the
+#: wait for one: half of the others may be about to send there as well.
+LOAD_COST: Final = 0.5
+
+#: How much longer a caller has to wait here, in requests of the usual work,
+#: before its flow goes to another availability zone; octets on the way cost,
+#: and a difference that is about to pass is not worth them.
+FAR_MARGIN: Final = 1.0
+
+#: The way to another availability zone and back.
+FAR_MILLISECONDS: Final = 3.0
+
+#: Agents that are greeted report at least so often, and at once when
+#: something changes: a report of this age is as good as new.
+FRESH_SECONDS: Final = 0.25
+
+#: Beyond that a report counts as much as what is usual when it is so old,
+#: about the time that a request takes in a queue.
+TRUSTED_SECONDS: Final = 0.25
+
+#: A flow that its caller does not end for so long stays for more requests.
+#: One that brings a single request ends with its answer, and routes allow
+#: less for that.
+LONG_FLOW_SECONDS: Final = 1.0
+
+#: Flows of each route that are watched at a time.
+WATCHED_FLOWS: Final = 16
+
+#: Weight of the latest flow in the share of long flows of its route.
+FLOW_SPAN_WEIGHT: Final = 0.1
+
+#: With more upstreams of a service a few are drawn for each flow: to compare
+#: 64 takes a tenth of a millisecond.
+MANY_CANDIDATES: Final = 64
+
+#: Two draws suffice against the longest queues; more find the fast ones.
+DRAWN_NEAR: Final = 6
+
+#: Others, for when all of those are taken.
+DRAWN_FAR: Final = 2
+
+#: Shortest pause between lines on flows that went to another zone.
+TELL_SECONDS: Final = 1.0
--- /dev/null
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
@@ -0,0 +1,50 @@
+"""What placement keeps from one decision to the next."""
+
+from typing import Generic, NamedTuple, TypeVar
+
+from keelgap_balancer.packets.placing.defaults import TELL_SECONDS
+from keelgap_balancer.packets.placing.spans import FlowSpans
+
+__all__ = ('Order', 'PlacingMemory', 'Waits')
+
+
+View = TypeVar('View')
+
+
+class Order(NamedTuple, Generic[View]):
+    """The upstreams of a large service, in the same order everywhere."""
+
+    views: tuple[View, ...]
+    near: tuple[View, ...]
+    far: tuple[View, ...]
+
+
+class Waits(NamedTuple):
+    """Why a flow went to another availability zone."""
+
+    #: Least expected cost of an agent here, and that of the one elsewhere.
+    near: float
+    far: float
+
+
+class PlacingMemory(Generic[View]):
+    """Learned spans, orders of large services, and counts."""
+
+    def __init__(self) -> None:
+        """Start without a flow."""
+        self.spans = FlowSpans()
+        self.orders: dict[str, Order[View]] = {}
+        #: Flows placed in the own availability zone, and elsewhere.
+        self.placed_near = 0
+        self.placed_far = 0
+        #: Of the latest decision, if it led to another availability zone.
+        self.waits: Waits | None = None
+        #: When such a decision was told last.
+        self.told_at = float('-inf')
+
+    def is_tellable(self, now: float) -> bool:
+        """Return whether another line is due, and note that it is told."""
+        if now - self.told_at < TELL_SECONDS:
+            return False
+        self.told_at = now
+        return True
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -10,7 +10,7 @@
     unpack_report,
 )
 from keelgap.packets.exceptions import MalformedEnvelope
-from keelgap.packets.formats import FLOW_KEY_LENGTH, Flags
+from keelgap.packets.formats import ENDS_FLOW, FLOW_KEY_LENGTH, Flags
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import (
     Decided,
@@ -80,8 +80,11 @@
     datagram: bytes,
     now: float,
 ) -> Effects:
-    if state.format.flags(datagram) & _SYN:
+    flags = state.format.flags(datagram)
+    if flags & _SYN:
         return open_flow(state, key, datagram, now)
+    if flags & ENDS_FLOW:
+        state.placing.spans.note_end(key, now)
     state.ages.note_opened(key)
     owner = state.owners.get(key)
     if owner is not None and not _is_lost(owner, now):
@@ -134,6 +137,7 @@
 ) -> Effects:
     view.report = unpack_report(event.envelope.content)
     view.picks = 0
+    view.reported_at = event.now
     return ()
 
 
@@ -255,6 +259,7 @@
     now = event.now
     state.owners.expire(now)
     state.ages.expire(now)
+    state.placing.spans.expire(now)
     given_up = expire_searches(state, now)
     forget_gone(state, now)
     forget_former_routes(state, now)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -27,6 +27,7 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.ages import CallerAges
 from keelgap_balancer.packets.effects import SendToAgent
+from keelgap_balancer.packets.placing.memory import PlacingMemory
 
 __all__ = (
     'AgentView',
@@ -55,6 +56,7 @@
         'noticed_at',
         'picks',
         'report',
+        'reported_at',
         'seed',
         'service_tag',
         'upstream',
@@ -71,6 +73,7 @@
         #: Stands for this start, in rankings and towards directories.
         self.seed = compute_service_tag(':'.join(map(str, upstream.identity)))
         self.report = _NO_REPORT
+        self.reported_at = now
         #: New flows sent there since its last report.
         self.picks = 0
         self.last_heard = float('-inf')
@@ -264,11 +267,13 @@
 class GreetingRound:
     """Whom to greet next, where there are too many to greet at once."""
 
-    __slots__ = ('left', 'seed')
+    __slots__ = ('left', 'near_agents', 'seed')
 
     def __init__(self, now: float) -> None:
         """Start before the first round."""
         self.left: Iterator[AgentView] = iter(())
+        #: How many agents are in the own availability zone.
+        self.near_agents = 0
         #: Differs from balancer to balancer: none starts at the same moment.
         self.seed = int(now * _MICROSECONDS) % _SEEDS
 
@@ -296,13 +301,12 @@
         #: By the agent's host; the latest upstream there.
         self.by_host: dict[str, AgentView] = {}
         self.by_service: dict[str, tuple[AgentView, ...]] = {}
-        #: How many agents are in the own availability zone.
-        self.near_agents = 0
         #: Those whose entry went.
         self.gone: set[UpstreamIdentity] = set()
         self.greeting = GreetingRound(now)
         self.owners = make_owners(now)
         self.ages = CallerAges()
+        self.placing: PlacingMemory[AgentView] = PlacingMemory()
         self.searches: dict[bytes, Search] = {}
         #: By service; of large services only.
         self.directories: dict[str, FlowDirectory] = {}
