--- a/experiments/packet_slopes.py
+++ b/experiments/packet_slopes.py
@@ -12,6 +12,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -23,6 +24,8 @@
     RouteSet,
     Share,
 )
+from keelgap.packets.envelopes import LoadReport
+from keelgap.packets.features import Features
 from keelgap.packets.formats import PacketFormat
 from keelgap_agent.packets.state import AgentState, Flow
 from keelgap_balancer.packets import reducer
@@ -33,12 +36,15 @@
     EnvelopeArrived,
     TimerFired,
 )
+from keelgap_balancer.packets.placement import choose_taker
 from keelgap_balancer.packets.state import PacketState, make_owners
 from keelgap_platform.layout import make_packet_format
 
 SIZES = (1000, 4000, 17000)
 #: Upstreams a service on average at the size to design for: 17,000 / 7,800.
 PER_SERVICE = 2.2
+#: Upstreams of one service.
+SERVICES = (15, 46, 1000)
 SYN = 2
 ACK = 128
 
@@ -158,6 +164,39 @@
     return round(asked / flows, 2)
 
 
+def measure_placement(random: Random, size: int) -> dict[str, Any]:
+    """Return what a decision costs among upstreams of one service."""
+    catalog = make_catalog(random, size)
+    route = make_route(0)
+    upstreams = {
+        name: upstream._replace(service=route.shares[0].service)
+        for name, upstream in catalog.upstreams.items()
+    }
+    catalog = catalog._replace(upstreams=upstreams)
+    report = LoadReport(9, 9, 40, closed=False, work_ms=40)
+    taken = {}
+    for way, is_on in (('by_load', False), ('by_answer', True)):
+        state = PacketState(
+            make_packet_format(),
+            'zone-0',
+            0,
+            Features(placement=is_on),
+        )
+        reducer.reduce(state, CatalogChanged(0, catalog))
+        for view in state.by_host.values():
+            view.report = report
+        choose = partial(choose_numbered, state, route)
+        taken[f'{way}_us'] = measure(choose, 2000)
+    return {'upstreams': size, **taken}
+
+
+def choose_numbered(
+    state: PacketState, route: PacketRoute, number: int
+) -> None:
+    """Choose the agent for one flow."""
+    choose_taker(state, route, number.to_bytes(12, 'little'), 0, ())
+
+
 def measure_flows(count: int) -> dict[str, Any]:
     """Return what a flow costs in memory, in both programs."""
     packet_format = make_packet_format()
@@ -189,6 +228,7 @@
     report = {
         'balancer': [measure_size(random, size) for size in SIZES],
         'flows': measure_flows(20000),
+        'placement': [measure_placement(random, size) for size in SERVICES],
     }
     print(json.dumps(report, indent=1))
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -162,6 +162,7 @@
             'flows': len(state.flows),
             'busy_requests': state.busy,
             'waiting_flows': len(state.held),
+            'work_milliseconds': state.pace.milliseconds,
             'balancers_heard': len(state.balancers.greeted),
             'directory_nodes': len(state.registrar.streams),
             'directory_flows': len(state.directory.holders),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -67,7 +67,7 @@
 MANY_CANDIDATES: Final = 64
 
 #: Two draws suffice against the longest queues; more find the fast ones.
-DRAWN_NEAR: Final = 6
+DRAWN_NEAR: Final = 5
 
 #: Others, for when all of those are taken.
 DRAWN_FAR: Final = 2
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -77,11 +77,15 @@
     )
     costs = {view.host: _compute_cost(question, view) for view in views}
     rank = _make_rank(costs, key)
-    near = [view for view in views if state.is_near(view)]
-    taker = min(near or views, key=rank)
-    if not near or len(near) == len(views):
+    near: list[AgentView] = []
+    others: list[AgentView] = []
+    for candidate in views:
+        is_near = state.is_near(candidate)
+        (near if is_near else others).append(candidate)
+    taker = min(near or others, key=rank)
+    if not near or not others:
         return taker
-    far = min((view for view in views if not state.is_near(view)), key=rank)
+    far = min(others, key=rank)
     least = min(costs[view.host] for view in near)
     waits = Waits(least, costs[far.host])
     if waits.near <= waits.far + _compute_way(typical):
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -252,6 +252,8 @@
             'parked_flows': len(state.parked),
             'balancers_heard': len(self.peers.heard),
             'yields_to_wider_links': self.rotation.yields,
+            'placed_near': state.placing.placed_near,
+            'placed_far': state.placing.placed_far,
         }
 
     def _send_to_agent(self, effect: SendToAgent) -> None:
