--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -77,11 +77,7 @@
     )
     costs = {view.host: _compute_cost(question, view) for view in views}
     rank = _make_rank(costs, key)
-    near: list[AgentView] = []
-    others: list[AgentView] = []
-    for candidate in views:
-        is_near = state.is_near(candidate)
-        (near if is_near else others).append(candidate)
+    near, others = _split(state, views)
     taker = min(near or others, key=rank)
     if not near or not others:
         return taker
@@ -94,6 +90,18 @@
     return far
 
 
+def _split(
+    state: PacketState,
+    views: Sequence[AgentView],
+) -> tuple[list[AgentView], list[AgentView]]:
+    """Return those of the own availability zone, and the others."""
+    near: list[AgentView] = []
+    others: list[AgentView] = []
+    for view in views:
+        (near if state.is_near(view) else others).append(view)
+    return near, others
+
+
 def _make_rank(
     costs: dict[str, float],
     key: bytes,
