--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -26,7 +26,7 @@
     if state.features.placement and len(views) > defaults.MANY_CANDIDATES:
         drawn = _draw(state, service, key)
         candidates = _choose_able(state, drawn, now, excluded)
-        if any(view.is_open() for view in candidates):
+        if any(_is_ready(view, now) for view in candidates):
             return candidates
     return _choose_able(state, views, now, excluded)
 
@@ -54,6 +54,10 @@
     return answering or members
 
 
+def _is_ready(view: AgentView, now: float) -> bool:
+    return view.is_open() and not view.is_quiet(now)
+
+
 def _draw(state: PacketState, service: str, key: bytes) -> list[AgentView]:
     """Return a few by the hash of a flow's key, most of them near.
 
--- a/tests/packets/test_placement.py
+++ b/tests/packets/test_placement.py
@@ -267,6 +267,15 @@
         deliver(state, '10.2.0.200', IDLE, 1)
         self.assertEqual(choose(state, 1, 1.1), '10.2.0.200')
 
+    def test_all_of_the_few_are_quiet(self) -> None:
+        """All but one of a thousand owe an answer for long."""
+        pattern = SMALL._replace(upstreams_in_zone=334, balancers_in_zone=1)
+        state = make_state(pattern)
+        for view in state.by_host.values():
+            view.expect_answer(1)
+        deliver(state, '10.2.0.200', IDLE, 3)
+        self.assertEqual(choose(state, 1, 3.1), '10.2.0.200')
+
     def test_decisions_among_a_thousand_are_quick(self) -> None:
         """The bound is ten times what it takes, for busy machines."""
         pattern = SMALL._replace(upstreams_in_zone=334, balancers_in_zone=1)
