--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -38,7 +38,7 @@
 #: How much longer a caller has to wait here, in requests of the usual work,
 #: before its flow goes to another availability zone; octets on the way cost,
 #: and a difference that is about to pass is not worth them.
-FAR_MARGIN: Final = 1.5
+FAR_MARGIN: Final = 0.6
 
 #: The way to another availability zone and back.
 FAR_MILLISECONDS: Final = 3.0
