--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -11,6 +11,7 @@
     'EXTRA_SLOTS',
     'FEWEST_PACE_SAMPLES',
     'FIRST_FAILING_STATUS',
+    'FIRST_PACE_SAMPLES',
     'FIRST_SLOTS',
     'FLOW_LIFE_SECONDS',
     'FLOW_SECONDS',
@@ -20,6 +21,7 @@
     'MAX_HELD_PACKETS',
     'MAX_REGISTERED',
     'MAX_SEEN_REQUESTS',
+    'MOST_PACE_SAMPLE',
     'OFFER_SECONDS',
     'OUTAGE_SECONDS',
     'PACE_SAMPLES',
@@ -56,8 +58,16 @@
 PACE_SAMPLES: Final = 32
 
 #: With fewer answers the upstream's pace is not told: callers would be sent
-#: away for a single request that took long.
-FEWEST_PACE_SAMPLES: Final = 6
+#: away for a few requests that took long.
+FEWEST_PACE_SAMPLES: Final = 16
+
+#: After so many answers one can tell that a request took unusually long.
+FIRST_PACE_SAMPLES: Final = 4
+
+#: A request counts as at most so many times the mean: one in thirty that runs
+#: for seven times as long would make alike upstreams look unlike.  One that
+#: turns five times as slow is known after 26 answers.
+MOST_PACE_SAMPLE: Final = 3
 
 #: Answers from this status on show that a request failed, and not how long one
 #: takes that is served.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/pace.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/pace.py
@@ -30,6 +30,9 @@
         """
         queued = max(before - slots + 1, 0)
         work = taken / (1 + queued / slots)
+        if self.samples >= defaults.FIRST_PACE_SAMPLES:
+            # One long request says little of the others.
+            work = min(work, defaults.MOST_PACE_SAMPLE * self.seconds)
         # All count alike until there are enough of them.
         self.samples = min(self.samples + 1, defaults.PACE_SAMPLES)
         self.seconds += (work - self.seconds) / self.samples
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -21,8 +21,8 @@
 )
 
 #: Upstreams whose work differs from the usual by less than this factor count
-#: as alike: the mean of 32 answers is right within a fifth.
-ALIKE_PACE: Final = 1.25
+#: as alike: means of 16 to 32 answers differ by as much by chance.
+ALIKE_PACE: Final = 1.5
 
 #: Costs that differ by less than this factor count as equal: a request more
 #: or less at three slots, which reports are behind by anyhow.
@@ -33,12 +33,12 @@
 
 #: What it costs to meet an upstream whose slots are all taken, beside the
 #: wait for one: half of the others may be about to send there as well.
-LOAD_COST: Final = 0.5
+LOAD_COST: Final = 1.0
 
 #: How much longer a caller has to wait here, in requests of the usual work,
 #: before its flow goes to another availability zone; octets on the way cost,
 #: and a difference that is about to pass is not worth them.
-FAR_MARGIN: Final = 1.0
+FAR_MARGIN: Final = 1.5
 
 #: The way to another availability zone and back.
 FAR_MILLISECONDS: Final = 3.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -47,10 +47,12 @@
 ) -> Typical | None:
     """Return what is usual, or None where nothing is uneven.
 
-    Nothing is where nobody waits and all work at about the same pace.
+    Nothing is where nobody waits and all work at about the same pace, nor
+    where that of most is unknown: they have just begun, or their agents are
+    of an earlier release.
     """
     known = sorted(view.report.work_ms for view in views if view.report.work_ms)
-    if not known:
+    if len(known) * 2 < len(views):
         return None
     typical = Typical(duty, known[(len(known) - 1) // 2])
     if any(_is_unusual(view, typical) for view in views):
@@ -80,7 +82,8 @@
     if not near or len(near) == len(views):
         return taker
     far = min((view for view in views if not state.is_near(view)), key=rank)
-    waits = Waits(costs[taker.host], costs[far.host])
+    least = min(costs[view.host] for view in near)
+    waits = Waits(least, costs[far.host])
     if waits.near <= waits.far + _compute_way(typical):
         return taker
     state.placing.waits = waits
--- /dev/null
+++ b/tests/packets/test_pace.py
@@ -0,0 +1,96 @@
+"""What an agent learns of its upstream's pace."""
+
+from unittest import TestCase
+
+from keelgap.packets.features import Features
+from keelgap_agent.packets import defaults
+from keelgap_agent.packets.events import UpstreamPacket
+from keelgap_agent.packets.pace import Pace
+from keelgap_agent.packets.reducer import reduce
+from keelgap_agent.packets.state import AgentState, Flow
+from tests.packets.building import ACK, FIN, FORMAT, FlowName, make_packet
+
+ON = Features(placement=True)
+OFF = Features()
+GOOD = b'HTTP/1.1 200 OK\r\n\r\n'
+BAD = b'HTTP/1.1 503 Busy\r\n\r\n'
+
+
+class PaceTests(TestCase):
+    """Work told apart from waiting."""
+
+    def test_free_slots(self) -> None:
+        """The time of a request that found one is its work."""
+        pace = Pace()
+        for _ in range(40):
+            pace.note(0.05, before=1, slots=2)
+        self.assertEqual(pace.milliseconds, 50)
+
+    def test_queue(self) -> None:
+        """Four requests before it at two slots: it waited for a while."""
+        pace = Pace()
+        for _ in range(40):
+            pace.note(0.05 * 2.5, before=4, slots=2)
+        self.assertEqual(pace.milliseconds, 50)
+
+    def test_unknown_at_first(self) -> None:
+        """A single long request sends nobody away."""
+        pace = Pace()
+        for _ in range(defaults.FEWEST_PACE_SAMPLES - 1):
+            pace.note(0.5, before=0, slots=2)
+        self.assertEqual(pace.milliseconds, 0)
+
+    def test_one_long_request(self) -> None:
+        """One of thirty runs for ten times as long."""
+        pace = Pace()
+        for _ in range(32):
+            pace.note(0.05, before=0, slots=2)
+        pace.note(0.5, before=0, slots=2)
+        self.assertLess(pace.milliseconds, 56)
+
+    def test_turns_slow(self) -> None:
+        """An upstream that takes five times as long is known in a while."""
+        pace = Pace()
+        for _ in range(32):
+            pace.note(0.05, before=0, slots=2)
+        for _ in range(20):
+            pace.note(0.25, before=0, slots=2)
+        self.assertGreater(pace.milliseconds, 110)
+
+
+class AgentPaceTests(TestCase):
+    """Which answers count."""
+
+    def answer(
+        self,
+        content: bytes,
+        flags: int = ACK,
+        features: Features = ON,
+    ) -> AgentState:
+        """Let an agent see twenty requests answered after 40 ms."""
+        state = AgentState(FORMAT, 'board', 0, features=features)
+        for number in range(20):
+            flow = FlowName('100.64.0.1', 2000 + number)
+            opened = Flow(0)
+            state.flows[flow.key] = opened
+            state.start_request(opened, 1)
+            packet = make_packet(flow, flags, data=content, back=True)
+            reduce(state, UpstreamPacket(1.04, packet))
+        return state
+
+    def test_answers(self) -> None:
+        """They are told in the report."""
+        state = self.answer(GOOD)
+        self.assertEqual(state.make_report().work_ms, 40)
+
+    def test_failures(self) -> None:
+        """Neither quick failures nor closed flows show how long work takes."""
+        for content, flags in ((BAD, ACK), (b'', FIN)):
+            with self.subTest(flags):
+                state = self.answer(content, flags)
+                self.assertEqual(state.make_report().work_ms, 0)
+
+    def test_switched_off(self) -> None:
+        """The report is that of the release before."""
+        state = self.answer(GOOD, features=OFF)
+        self.assertEqual(state.make_report().work_ms, 0)
