--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -26,6 +26,7 @@
     StoreSeen,
     TimerFired,
 )
+from keelgap_balancer.packets.forwards import forward
 from keelgap_balancer.packets.giving_up import expire_searches
 from keelgap_balancer.packets.greeting import greet_agents
 from keelgap_balancer.packets.membership import (
@@ -43,12 +44,17 @@
 from keelgap_balancer.packets.search import (
     continue_search,
     pass_over_silent,
-    resume_parked,
     take_covered,
     take_found,
     take_unknown_flow,
 )
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.verdicts import serves_route
+from keelgap_balancer.packets.waiting import (
+    look_up_again,
+    resume_kept,
+    resume_parked,
+)
 
 __all__ = ('reduce',)
 
@@ -88,7 +94,7 @@
     state.ages.note_opened(key)
     owner = state.owners.get(key)
     if owner is not None and not _is_lost(owner, now):
-        return (owner.send(EnvelopeKind.FORWARD, datagram),)
+        return (forward(state, owner, datagram),)
     state.owners.forget(key)
     route = state.find_route(datagram)
     if route is None:
@@ -106,13 +112,16 @@
     return now - owner.last_heard > defaults.GONE_SECONDS
 
 
-def _forward_again(owner: AgentView, event: EnvelopeArrived) -> Effects:
+def _forward_again(
+    state: PacketState,
+    owner: AgentView,
+    event: EnvelopeArrived,
+) -> Effects:
     """Pass on a packet that another agent denied, but not for ever."""
     hop = event.envelope.hop + 1
     if hop > defaults.MAX_HOPS:
         return (Decided('drop_too_many_hops'),)
-    content = event.envelope.content
-    return (owner.send(EnvelopeKind.FORWARD, content, hop),)
+    return (forward(state, owner, event.envelope.content, hop),)
 
 
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
@@ -121,6 +130,15 @@
         return (Decided('drop_unknown_sender'),)
     view.note_heard(event.now)
     state.note_stamp(event.stamp)
+    taken = _take_known(state, event, view)
+    return (*taken, *look_up_again(state, view.host, event.now))
+
+
+def _take_known(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
     handler = _ENVELOPE_HANDLERS.get(event.envelope.kind)
     if handler is None:
         return (Decided('drop_unexpected_kind'),)
@@ -213,13 +231,16 @@
     is_opening = state.format.flags(datagram) & _SYN
     if owner is not None:
         # Another choice stands; a second one would lose the first's answer.
-        return () if is_opening else _forward_again(owner, event)
+        return () if is_opening else _forward_again(state, owner, event)
     if is_opening:
         hop = event.envelope.hop + 1
         opening = Opening(key, route, datagram, event.now, hop)
         return place_elsewhere(state, opening, view)
     search = state.searches.setdefault(key, Search(event.now))
     search.missed.add(view.host)
+    if not search.questions and serves_route(view, route):
+        # The packet that its owner gave back was the question.
+        search.questions = 1
     search.may_lack_entries |= event.stamp.may_lack_entries
     if search.pending not in {None, view.host}:
         return ()
@@ -239,6 +260,7 @@
         *effects,
         *greet_agents(state, event.now),
         *resume_parked(state, event.now),
+        *resume_kept(state, event.now),
         *routed,
     )
 
@@ -263,8 +285,10 @@
     given_up = expire_searches(state, now)
     forget_gone(state, now)
     forget_former_routes(state, now)
+    kept = () if state.is_newly_informed(now) else resume_kept(state, now)
     return (
         *given_up,
+        *kept,
         *pass_over_silent(state, now),
         *greet_agents(state, now),
     )
