--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -66,8 +66,10 @@
 class CallerAges:
     """Openings that came to nothing yet, by the caller's host."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         """Start without any."""
+        #: When any packet of a caller came last.
+        self.last_packet = now
         self.openings: dict[bytes, _Opening] = {}
         self.by_host: dict[bytes, list[bytes]] = {}
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -5,6 +5,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from keelgap_balancer.packets.ejection import leave_out_ejected
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.memory import Order
 from keelgap_balancer.packets.state import AgentView, PacketState
@@ -48,6 +49,7 @@
         if view.host not in excluded and not state.is_evacuated(view)
     ]
     members = [view for view in others if view.is_open()]
+    members = leave_out_ejected(state, members)
     if not members:
         members = [view for view in others if view.may_return(now)]
     answering = [view for view in members if not view.is_quiet(now)]
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -17,6 +17,10 @@
     Observed,
     PacketEffect,
 )
+from keelgap_balancer.packets.ejection import (
+    forget_ejections,
+    note_ejection,
+)
 from keelgap_balancer.packets.events import (
     CallerPacket,
     CatalogChanged,
@@ -73,7 +77,7 @@
 def _take_caller_packet(state: PacketState, event: CallerPacket) -> Effects:
     datagram = event.datagram
     now = event.now
-    state.last_caller_packet = now
+    state.ages.last_packet = now
     key = state.format.caller_key(datagram)
     if not state.has_catalog:
         return park(state, key, datagram, now)
@@ -156,7 +160,7 @@
     view.report = unpack_report(event.envelope.content)
     view.picks = 0
     view.reported_at = event.now
-    return ()
+    return note_ejection(state, view, view.report, event.now)
 
 
 def _greet_agent(
@@ -284,6 +288,7 @@
     state.placing.spans.expire(now)
     given_up = expire_searches(state, now)
     forget_gone(state, now)
+    forget_ejections(state)
     forget_former_routes(state, now)
     kept = () if state.is_newly_informed(now) else resume_kept(state, now)
     return (
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -246,6 +246,8 @@
             'upstreams': len(views),
             'zones_out_of_service': len(state.catalog.evacuated),
             'upstreams_out_of_service': sum(map(state.is_evacuated, views)),
+            'ejected_upstreams': len(state.ejections.out),
+            'upstreams_wanting_trial': len(state.ejections.wanting),
             'silent_agents': sum(view.is_quiet(now) for view in views),
             'known_flows': len(state.owners),
             'searches': len(state.searches),
@@ -342,7 +344,7 @@
 
     def _check_stop(self, now: float, since: float) -> None:
         """End once the routers send no more, or the time is up."""
-        quiet = now - max(self.state.last_caller_packet, since)
+        quiet = now - max(self.state.ages.last_packet, since)
         if now - since < defaults.ROUTERS_SECONDS:
             return
         if quiet > defaults.DRAINED_SECONDS:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -31,6 +31,7 @@
 
 __all__ = (
     'AgentView',
+    'Ejections',
     'FormerRoute',
     'GreetingRound',
     'NodeView',
@@ -59,6 +60,7 @@
         'reported_at',
         'seed',
         'service_tag',
+        'tried_at',
         'upstream',
         'waiting_since',
         'warm_at',
@@ -77,6 +79,8 @@
         #: New flows sent there since its last report.
         self.picks = 0
         self.last_heard = float('-inf')
+        #: When a flow was sent as a trial last.
+        self.tried_at = float('-inf')
         #: Since when an answer is owed.
         self.waiting_since: float | None = None
         self.hello_at = now
@@ -323,6 +327,19 @@
         self.seed = int(now * _MICROSECONDS) % _SEEDS
 
 
+class Ejections:
+    """The upstreams that fail requests, as their agents say."""
+
+    __slots__ = ('out', 'wanting')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        #: Those that are ejected, and since when this is known.
+        self.out: dict[AgentView, float] = {}
+        #: Those among them that want to be tried, and since when.
+        self.wanting: dict[AgentView, float] = {}
+
+
 class PacketState:
     """All that a packet balancer holds."""
 
@@ -350,9 +367,10 @@
         self.gone: set[UpstreamIdentity] = set()
         self.greeting = GreetingRound(now)
         self.owners = make_owners(now)
-        self.ages = CallerAges()
+        self.ages = CallerAges(now)
         self.placing: PlacingMemory[AgentView] = PlacingMemory()
         self.searches: dict[bytes, Search] = {}
+        self.ejections = Ejections()
         #: By service; of large services only.
         self.directories: dict[str, FlowDirectory] = {}
         #: By the directory node's host.
@@ -361,7 +379,6 @@
         self.unspoken: dict[tuple[Any, ...], tuple[AgentView, ...]] = {}
         #: Latest packet of each flow that came before the first catalog.
         self.parked: dict[bytes, bytes] = {}
-        self.last_caller_packet = now
         #: Revision up to which the catalog in force is complete.
         self.confirmed_revision = 0
         #: Latest change of the store that anybody told of.
--- /dev/null
+++ b/tests/packets/test_ejection_oracle.py
@@ -0,0 +1,176 @@
+"""Ejections at any moment break no promise."""
+
+import struct
+from typing import Any
+from unittest import TestCase, mock
+
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+
+from keelgap.catalog.models import PacketUpstream
+from keelgap.packets.envelopes import Envelope, EnvelopeKind
+from keelgap.packets.features import Features
+from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.outcomes import defaults, giving_up
+from keelgap_agent.packets.state import AgentState
+from tests.fuzzing import run_machine
+from tests.packets.building import (
+    ACK,
+    BOARD,
+    FORMAT,
+    RST,
+    SYN,
+    FlowName,
+    make_packet,
+    make_upstream,
+)
+from tests.packets.machine import BALANCERS, HOSTS, FakeUpstream, PacketMachine
+
+EXAMPLES = 60
+STEPS = 40
+
+
+def forget_given_up(state: Any, key: bytes, now: float, **told: Any) -> None:
+    """Stand in for an agent that passes late packets of a flow it reset."""
+    state.forget(key)
+
+
+def reset_any(state: Any, flow: Any, datagram: bytes) -> bool:
+    """Stand in for an agent that resets flows of other upstreams."""
+    return True
+
+
+class EjectingMachine(PacketMachine):
+    """A world whose agents eject their upstreams now and then."""
+
+    features = Features(ejection=True)
+
+    @rule(number=st.sampled_from(HOSTS))
+    def eject(self, number: int) -> None:
+        """Let an agent find that its upstream fails."""
+        host = f'10.0.0.{number}'
+        agent = self.agents[host]
+        agent.outcomes.ejection.eject(self.now, is_silent=True)
+        agent.outcomes.has_news = True
+
+    @rule(number=st.sampled_from(HOSTS), service=st.sampled_from(('board',)))
+    def eject_with_waiting(self, number: int, service: str) -> None:
+        """Let one be ejected while flows wait there."""
+        self.open(service=service, host='10.1.0.1', copies=1)
+        self.deliver_all()
+        self.eject(number)
+        waiting = [self.flows[key] for key in sorted(self.flows)]
+        for flow in waiting:
+            if flow.key in self.accepted:
+                self._send('10.1.0.2', make_packet(flow, ACK, data=b'GET'))
+        self.deliver_all()
+
+    @rule()
+    def open_twice(self) -> None:
+        """A flow opens at one upstream, and waits at one that is ejected."""
+        flow = FlowName('100.64.0.9', self.next_port, BOARD)
+        self.next_port += 1
+        self.flows[flow.key] = flow
+        request = make_packet(flow, ACK, data=b'GET')
+        for packet in (make_packet(flow, SYN), request):
+            self._send(BALANCERS[0], packet)
+            self.deliver_all()
+        others = [
+            host
+            for host, upstream in self.upstreams.items()
+            if upstream.row.service == 'board'
+            and flow.key not in upstream.open | upstream.half_open
+        ]
+        if not others or flow.key not in self.flows:
+            return
+        self._offer(others[0], EnvelopeKind.OPEN, make_packet(flow, SYN))
+        self.agents[others[0]].outcomes.ejection.eject(self.now, is_silent=True)
+        self._offer(others[0], EnvelopeKind.FORWARD, request)
+        self.deliver_all()
+
+    @rule(host=st.sampled_from(BALANCERS))
+    def repeat_late(self, host: str) -> None:
+        """Packets arrive that callers sent before they were told."""
+        limit = self.now - defaults.GIVEN_UP_SECONDS
+        for told, flow in getattr(self, 'late', ()):
+            if told > limit:
+                self._send(host, make_packet(flow, ACK, data=b'GET'))
+        self.deliver_all()
+
+    def _make_agent(self, service: str, host: str) -> AgentState:
+        """Start an agent; no packet lives as long as that takes."""
+        told = getattr(self, 'told', set())
+        self.told = {(where, key) for where, key in told if where != host}
+        return super()._make_agent(service, host)
+
+    def _start(self, number: int, row: PacketUpstream, **kept: bool) -> None:
+        """Give each start of an upstream a number of its own."""
+        super()._start(number, row, **kept)
+        host = make_upstream(number).address.host
+        self.upstreams[host].number = 100 * self.generation
+
+    def _send(self, host: str, packet: bytes) -> None:
+        """Let callers acknowledge the upstream that answered first."""
+        super()._send(host, self._acknowledge(packet))
+
+    def _acknowledge(self, packet: bytes) -> bytes:
+        chosen = self._get_chosen().get(FORMAT.caller_key(packet))
+        if chosen is None or packet[26] & SYN:
+            return packet
+        return packet[:22] + struct.pack('<I', chosen) + packet[26:]
+
+    def _offer(self, host: str, kind: EnvelopeKind, packet: bytes) -> None:
+        """Send a packet to an agent that its flow was not meant for."""
+        tag = self.agents[host].service_tag
+        packet = self._acknowledge(packet)
+        envelope = Envelope(kind, 0, 3, 0, 0, tag, packet)
+        event = EnvelopeArrived(self.now, BALANCERS[1], envelope)
+        self._run_agent(host, event)
+
+    def _get_chosen(self) -> dict[bytes, int]:
+        if not hasattr(self, 'chosen'):
+            self.chosen: dict[bytes, int] = {}
+        return self.chosen
+
+    def _check_told(self, host: str, datagram: bytes) -> None:
+        """A reset of an agent's own ends a flow that nobody holds."""
+        key = FORMAT.upstream_key(datagram)
+        if datagram[26] & SYN:
+            number = FORMAT.sequence(datagram) + 1
+            self._get_chosen().setdefault(key, number)
+        if not datagram[26] & RST:
+            return
+        assert not self._find_holders(key), 'a living flow'  # noqa: S101
+        self.told = {*getattr(self, 'told', ()), (host, key)}
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            told = (self.now, flow)
+            self.late = [*getattr(self, 'late', ()), told]
+
+    def _check_passed(self, upstream: FakeUpstream, datagram: bytes) -> None:
+        super()._check_passed(upstream, datagram)
+        if datagram[26] & SYN:
+            return
+        held = (upstream.row.address.host, FORMAT.caller_key(datagram))
+        told = getattr(self, 'told', set())
+        assert held not in told, 'run after a reset'  # noqa: S101
+
+
+class EjectionOracleTests(TestCase):
+    """Random sessions with ejections."""
+
+    def test_promises_hold_under_ejections(self) -> None:
+        """No session breaks one."""
+        run_machine(EjectingMachine, EXAMPLES, STEPS)
+
+    def test_a_reset_of_another_upstreams_flow_is_found(self) -> None:
+        """A fuzzer that cannot fail proves nothing."""
+        patch = mock.patch.object(giving_up, 'acknowledges_upstream', reset_any)
+        with patch, self.assertRaises(AssertionError):
+            run_machine(EjectingMachine, 400, STEPS, shrink=False)
+
+    def test_a_late_packet_of_a_flow_given_up_is_found(self) -> None:
+        """The same, for requests that run after all."""
+        patch = mock.patch.object(giving_up, '_forget', forget_given_up)
+        with patch, self.assertRaises(AssertionError):
+            run_machine(EjectingMachine, 400, STEPS, shrink=False)
