--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -166,6 +166,7 @@
                 held.is_later for held in state.held.values()
             ),
             'expected_wait_seconds': state.room.pace * len(state.held),
+            'work_milliseconds': state.pace.milliseconds,
             'balancers_heard': len(state.balancers.greeted),
             'directory_nodes': len(state.registrar.streams),
             'directory_flows': len(state.directory.holders),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -20,6 +20,7 @@
 from keelgap_balancer.packets.ejection import choose_kind, choose_trial
 from keelgap_balancer.packets.parking import park
 from keelgap_balancer.packets.placement import choose_service, choose_taker
+from keelgap_balancer.packets.placing.notes import note_placement
 from keelgap_balancer.packets.refusals import note_refusal
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
 
@@ -138,7 +139,8 @@
         return _refuse(state, opening)
     state.owners.put(key, taker)
     taker.picks += 1
-    return _offer(state, taker, opening)
+    told = note_placement(state, taker, opening.route, key, opening.now)
+    return (*_offer(state, taker, opening), *told)
 
 
 def _choose_trial(state: PacketState, opening: Opening) -> AgentView | None:
@@ -166,6 +168,7 @@
     state.searches.pop(key, None)
     state.owners.forget(key)
     state.ages.note_reset(key, opening.now)
+    state.placing.spans.forget(key)
     fields = {
         'flow': state.format.describe_key(key),
         'route': opening.route.name,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -257,6 +257,8 @@
             'callers_counted': len(state.ages.shares.counts),
             'balancers_heard': len(self.peers.heard),
             'yields_to_wider_links': self.rotation.yields,
+            'placed_near': state.placing.placed_near,
+            'placed_far': state.placing.placed_far,
         }
 
     def _send_to_agent(self, effect: SendToAgent) -> None:
@@ -345,7 +347,7 @@
 
     def _check_stop(self, now: float, since: float) -> None:
         """End once the routers send no more, or the time is up."""
-        quiet = now - max(self.state.last_caller_packet, since)
+        quiet = now - max(self.state.ages.last_packet, since)
         if now - since < defaults.ROUTERS_SECONDS:
             return
         if quiet > defaults.DRAINED_SECONDS:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -27,6 +27,7 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.ages import CallerAges
 from keelgap_balancer.packets.effects import SendToAgent
+from keelgap_balancer.packets.placing.memory import PlacingMemory
 
 __all__ = (
     'AgentView',
@@ -56,6 +57,7 @@
         'noticed_at',
         'picks',
         'report',
+        'reported_at',
         'seed',
         'service_tag',
         'tried_at',
@@ -73,6 +75,7 @@
         #: Stands for this start, in rankings and towards directories.
         self.seed = compute_service_tag(':'.join(map(str, upstream.identity)))
         self.report = _NO_REPORT
+        self.reported_at = now
         #: New flows sent there since its last report.
         self.picks = 0
         self.last_heard = float('-inf')
@@ -367,7 +370,8 @@
         self.gone: set[UpstreamIdentity] = set()
         self.greeting = GreetingRound(now)
         self.owners = make_owners(now)
-        self.ages = CallerAges()
+        self.ages = CallerAges(now)
+        self.placing: PlacingMemory[AgentView] = PlacingMemory()
         self.searches: dict[bytes, Search] = {}
         self.ejections = Ejections()
         #: By service; of large services only.
@@ -378,7 +382,6 @@
         self.unspoken: dict[tuple[Any, ...], tuple[AgentView, ...]] = {}
         #: Latest packet of each flow that came before the first catalog.
         self.parked: dict[bytes, bytes] = {}
-        self.last_caller_packet = now
         #: Revision up to which the catalog in force is complete.
         self.confirmed_revision = 0
         #: Latest change of the store that anybody told of.
