--- a/packages/keelgap/src/keelgap/packets/features.py
+++ b/packages/keelgap/src/keelgap/packets/features.py
@@ -51,8 +51,9 @@
     scheduling: Choice = Choice.AUTO
     #: Place new flows where their answers are expected first.
     placement: Choice = Choice.AUTO
-    #: Refuse at once what cannot be served in time.
-    admission: Choice = Choice.AUTO
+    #: Refuse at once what cannot be served in time.  Off unless asked for:
+    #: of callers whose zone has less room than others, fewer are served.
+    admission: Choice = Choice.OFF
 
 
 #: Where the settings file has no such section.
--- a/tests/keelgap/test_features.py
+++ b/tests/keelgap/test_features.py
@@ -36,9 +36,16 @@
 
     def test_overload_calls_for_admission_alone(self) -> None:
         """What upstreams say of themselves is another matter."""
-        chosen = choose_features(FeatureSettings(), {Term.OVERLOAD})
+        settings = FeatureSettings(admission=Choice.AUTO)
+        chosen = choose_features(settings, {Term.OVERLOAD})
         self.assertEqual(chosen, Features(admission=True))
 
+    def test_early_refusal_is_off_unless_asked_for(self) -> None:
+        """Whatever was agreed on."""
+        self.assertFalse(
+            choose_features(FeatureSettings(), set(Term)).admission
+        )
+
     def test_settings_override_terms(self) -> None:
         """Operators can turn each decision on and off."""
         settings = FeatureSettings(ejection=Choice.OFF, admission=Choice.ON)
