--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -218,9 +218,9 @@
         self.latest = b''
         #: Packet that waits for a later catalog, after everybody said no.
         self.parked: bytes | None = None
-        #: Revision that the catalog must have before a verdict: the latest
-        #: that anybody knew of when everybody had said no.
-        self.needed_revision: int | None = None
+        #: Revision that the catalog must have before the search goes on: the
+        #: latest that was heard of when everybody had said no.
+        self.needed_revision = 0
         #: Since when it waits for entries that may come back.
         self.kept_since: float | None = None
         #: Whether a line told of that.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -143,8 +143,8 @@
 
     Its upstream may be unknown here: one that started a moment ago, or one
     whose entry lapsed before this process read anything.  The search waits
-    then: for the changes that anybody knew of when everybody had said no, and
-    for the entries that may come back.  Those who come in are asked.
+    then: for all changes that this process has heard of by now, and for the
+    entries that may come back.  Those who come in are asked.
     """
     if not search.questions:
         state.searches.pop(key, None)
@@ -157,10 +157,9 @@
         'revision': state.confirmed_revision,
     }
     datagram = search.latest
-    if search.needed_revision is None:
-        # What is written later cannot list the flow's upstream first: it was
-        # open when its packet came.
-        search.needed_revision = state.latest_change if state.is_behind else 0
+    # A change may be heard of after the denials and still be older than the
+    # flow: the mark rises with each verdict that is sought.
+    search.needed_revision = state.latest_change if state.is_behind else 0
     if search.needed_revision > state.confirmed_revision:
         search.parked = datagram
         fields['latest_change'] = search.needed_revision
@@ -177,12 +176,8 @@
     fields: dict[str, object],
     now: float,
 ) -> Effects:
-    """Keep a search until entries that lapsed are back.
-
-    What comes with them may name changes that are not known here yet.
-    """
+    """Keep a search until entries that lapsed are back."""
     search.kept_since = now
-    search.needed_revision = None
     if search.is_told:
         return ()
     search.is_told = True
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
@@ -21,8 +21,9 @@
     """Go on with searches that waited for a later catalog."""
     effects: list[PacketEffect] = []
     for key, search in tuple(state.searches.items()):
-        needed = search.needed_revision or 0
-        if search.parked is None or needed > state.confirmed_revision:
+        if search.parked is None:
+            continue
+        if search.needed_revision > state.confirmed_revision:
             continue
         search.end_wait(now)
         search.begin_anew()
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -18,7 +18,7 @@
     rule,
 )
 
-from keelgap.catalog.models import PacketRoute, PacketUpstream
+from keelgap.catalog.models import Catalog, PacketRoute, PacketUpstream
 from keelgap.packets.envelopes import Envelope, Stamp
 from keelgap.packets.features import NO_FEATURES, Features
 from keelgap_agent.packets import defaults as agent_defaults
@@ -54,6 +54,8 @@
 ROUTES: Final = {'board': BOARD, 'proof': PROOF}
 #: Envelopes in flight beyond which the oldest are delivered first.
 _MOST_IN_FLIGHT: Final = 40
+#: Openings after which one has reached each upstream.
+_MOST_OPENINGS: Final = 40
 
 
 class FakeUpstream:
@@ -138,6 +140,8 @@
         self.next_port = 1
         #: Host that nothing reaches.
         self.cut_off = ''
+        #: Balancer whose reading of the store takes long.
+        self.reads_late = ''
         #: Availability zones out of service, as all agents know by now.
         self.evacuated: tuple[str, ...] = ()
         for number in self.hosts:
@@ -174,20 +178,7 @@
     @rule(host=st.sampled_from(BALANCERS))
     def learn(self, host: str) -> None:
         """Let a balancer learn what is listed now."""
-        catalog = make_catalog(
-            self.revision,
-            self._list_rows(),
-            evacuated=self.evacuated,
-        )
-        event = balancer_events.CatalogChanged(self.now, catalog)
-        self._run_balancer(host, event)
-        seen = balancer_events.StoreSeen(
-            self.now,
-            self.revision,
-            self.revision,
-            reaches_store=True,
-        )
-        self._run_balancer(host, seen)
+        self._read(host, self._make_catalog())
         self._tell_others(host)
 
     @rule(number=st.sampled_from(LATER_HOSTS))
@@ -214,6 +205,35 @@
         self._send(BALANCERS[1], request)
         self.deliver_all()
 
+    @rule()
+    def overtake(self) -> None:
+        """Denials and an earlier catalog come before news of a later one.
+
+        A flow opens at an upstream of the later catalog, and the routers
+        move it.
+        """
+        self.deliver_all()
+        first, second = BALANCERS
+        self.reads_late = second
+        self._add_upstream(LATER_HOSTS[0], 'board')
+        earlier = self._make_catalog()
+        self.learn(first)
+        self.deliver_all()
+        self._add_upstream(LATER_HOSTS[1], 'board')
+        self._read(first, self._make_catalog())
+        name = self._open_at(LATER_HOSTS[1])
+        request = make_packet(name, ACK, data=b'GET')
+        self._send(second, request)
+        self.deliver_all()
+        stamp = self.balancers[first].make_stamp()
+        heard = balancer_events.StampHeard(self.now, stamp)
+        self._run_balancer(second, heard)
+        self._read(second, earlier)
+        self.deliver_all()
+        self.reads_late = ''
+        self.learn(second)
+        self.deliver_all()
+
     @rule(number=st.sampled_from(HOSTS))
     def lapse_unseen(self, number: int) -> None:
         """A balancer starts while the store lacks a living upstream.
@@ -345,7 +365,7 @@
     @rule(data=st.data(), host=st.sampled_from(BALANCERS))
     def find_again(self, data: st.DataObject, host: str) -> None:
         """An open flow reaches its upstream through any balancer."""
-        held = [key for key in sorted(self.flows) if self._find_holders(key)]
+        held = [key for key in sorted(self.flows) if self.find_holders(key)]
         if not held:
             return
         self.deliver_all()
@@ -373,7 +393,7 @@
         lost = [
             key
             for key in sorted(self.accepted & self.flows.keys())
-            if not self._find_holders(key)
+            if not self.find_holders(key)
             and not self._is_half_open(key)
             and self.flows[key].route in served
         ]
@@ -411,6 +431,14 @@
             ready = [key for key, held in agent.held.items() if held.packets]
             assert not (ready and agent.has_room)  # noqa: S101
 
+    def find_holders(self, key: bytes) -> list[str]:
+        """Return the hosts of the upstreams that hold an open flow."""
+        return [
+            host
+            for host, upstream in self.upstreams.items()
+            if key in upstream.open
+        ]
+
     def _bury_one(self, key: bytes, host: str) -> None:
         """Speak on a dead flow; it is reset at once."""
         self._send(host, make_packet(self.flows[key], ACK, data=b'GET'))
@@ -420,7 +448,7 @@
     def _check_reset(self, datagram: bytes) -> None:
         key = FORMAT.caller_key(datagram)
         if not datagram[26] & SYN:
-            holders = self._find_holders(key)
+            holders = self.find_holders(key)
             assert not holders, 'a living flow was reset'  # noqa: S101
         self.flows.pop(key, None)
 
@@ -480,6 +508,42 @@
             self.agents[host] = agent
         self.listed[later.upstream_id] = later
 
+    def _make_catalog(self) -> Catalog:
+        """Return what is listed now."""
+        return make_catalog(
+            self.revision,
+            self._list_rows(),
+            evacuated=self.evacuated,
+        )
+
+    def _read(self, host: str, catalog: Catalog) -> None:
+        """Let a balancer read a catalog, and know of nothing later."""
+        event = balancer_events.CatalogChanged(self.now, catalog)
+        self._run_balancer(host, event)
+        seen = balancer_events.StoreSeen(
+            self.now,
+            catalog.revision,
+            catalog.revision,
+            reaches_store=True,
+        )
+        self._run_balancer(host, seen)
+
+    def _open_at(self, number: int) -> FlowName:
+        """Open a flow at an upstream; openings for others are lost."""
+        wanted = f'10.0.0.{number}'
+        for _ in range(_MOST_OPENINGS):
+            name = FlowName('100.64.0.8', self.next_port, BOARD)
+            self.next_port += 1
+            self.flows[name.key] = name
+            self._send(BALANCERS[0], make_packet(name, SYN))
+            self.in_flight = [one for one in self.in_flight if one[0] == wanted]
+            self.deliver_all()
+            if self._is_half_open(name.key):
+                break
+        self._send(BALANCERS[0], make_packet(name, ACK, data=b'GET'))
+        self.deliver_all()
+        return name
+
     def _list_rows(self) -> list[PacketUpstream]:
         return list(self.listed.values())
 
@@ -521,13 +585,6 @@
     def _get_upstream(self, number: int) -> FakeUpstream:
         return self.upstreams[f'10.0.0.{number}']
 
-    def _find_holders(self, key: bytes) -> list[str]:
-        return [
-            host
-            for host, upstream in self.upstreams.items()
-            if key in upstream.open
-        ]
-
     def _is_half_open(self, key: bytes) -> bool:
         return any(key in one.half_open for one in self.upstreams.values())
 
@@ -555,7 +612,10 @@
                 self._post(effect.host, host, effect.envelope)
             elif isinstance(effect, balancer_effects.SendReset):
                 self._check_reset(effect.datagram)
-            elif isinstance(effect, balancer_effects.CatchUp):
+            elif (
+                isinstance(effect, balancer_effects.CatchUp)
+                and host != self.reads_late
+            ):
                 self.in_flight.append((host, partial(self.learn, host)))
 
     def _run_agent(self, host: str, event: Any) -> None:
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -18,7 +18,11 @@
 from keelgap_agent.packets.events import TimerFired as AgentTimerFired
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import CatchUp, Decided, SendReset
-from keelgap_balancer.packets.events import StoreSeen, TimerFired
+from keelgap_balancer.packets.events import (
+    StampHeard,
+    StoreSeen,
+    TimerFired,
+)
 from keelgap_balancer.packets.state import PacketState
 from tests.packets.building import (
     ACK,
@@ -28,6 +32,7 @@
     make_packet,
     make_upstream,
 )
+from tests.packets.machine import PacketMachine
 from tests.packets.test_after_outage import WaitTestCase
 from tests.packets.test_balancer import FLOW, BalancerTestCase
 from tests.packets.test_directory import AgentTestCase
@@ -188,23 +193,76 @@
 class NeededRevisionTests(SearchTestCase):
     """Upstreams that started together change their entries for seconds."""
 
-    def test_verdict_waits_for_no_later_change_than_was_known(self) -> None:
-        """The flow was open before, so what was written later cannot matter.
-
-        After a power failure 57 upstreams changed 50 entries a second, and
-        verdicts waited for up to nine catalogs.
-        """
+    def ask_anew(self) -> list[Any]:
+        """Let both nodes deny the flow again; return what follows."""
+        effects: list[Any] = []
+        for _ in range(2):
+            search = self.state.searches[FLOW.key]
+            for host in tuple(search.lookups):
+                effects.extend(self.find(host))
+        return effects
+
+    def wait_for_catalog(self) -> None:
+        """Let all deny the flow, who know of a change not in force here."""
         self.stamp = Stamp(9, may_lack_entries=False)
         self.assertEqual(self.deny(), [CatchUp()])
-        self.take(StoreSeen(self.now, 5, 20, reaches_store=True))
+
+    def check_owner_is_found(self) -> None:
+        """The flow's upstream is in no catalog before the one of 12."""
+        self.change(make_catalog(9, self.boards))
+        effects = self.ask_anew()
+        self.check_no_reset(effects)
+        self.assertIn(CatchUp(), effects)
+        returned = make_upstream(50)
+        effects = self.change(make_catalog(12, [*self.boards, returned]))
+        host = returned.address.host
+        node = min(self.state.searches[FLOW.key].lookups)
+        effects.extend(self.find(node, host))
+        self.check_no_reset(effects)
+        self.answer(host, EnvelopeKind.OWNED, FLOW.key)
+        self.assertNotIn(FLOW.key, self.state.searches)
+
+    def test_change_that_gossip_tells_after_the_denials_counts(self) -> None:
+        """What was written before them may be heard after them."""
+        self.wait_for_catalog()
+        later = Stamp(12, may_lack_entries=False)
+        self.take(StampHeard(self.now, later))
+        self.check_owner_is_found()
+
+    def test_change_that_the_store_tells_after_the_denials_counts(
+        self,
+    ) -> None:
+        """The revision of a catalog may be older than the store's."""
+        self.wait_for_catalog()
+        self.take(StoreSeen(self.now, 5, 12, reaches_store=True))
+        self.check_owner_is_found()
+
+    def test_change_that_a_late_denial_tells_counts(self) -> None:
+        """Envelopes state what their senders have heard."""
+        self.wait_for_catalog()
+        self.stamp = Stamp(12, may_lack_entries=False)
+        self.check_owner_is_found()
+
+    def test_named_stranger_in_a_later_catalog_counts(self) -> None:
+        """Its node may start anew meanwhile and deny the flow."""
+        self.wait_for_catalog()
         self.change(make_catalog(9, self.boards))
-        self.stamp = Stamp(20, may_lack_entries=False)
-        hosts = list(self.state.searches[FLOW.key].lookups)
-        effects = list(self.find(hosts[0]))
-        later = list(self.state.searches[FLOW.key].lookups)
-        for host in later:
-            effects.extend(self.find(host))
-        self.assertIn(RESET, effects)
+        self.stamp = Stamp(12, may_lack_entries=False)
+        node = min(self.state.searches[FLOW.key].lookups)
+        self.find(node, '10.0.0.50')
+        self.take(StoreSeen(self.now, 9, 12, reaches_store=True))
+        self.change(make_catalog(10, self.boards))
+        self.check_no_reset(self.ask_anew())
+
+    def test_living_flow_outlives_a_catalog_that_lacks_its_upstream(
+        self,
+    ) -> None:
+        """Three real programs: the gossip is slower than the denials."""
+        world = PacketMachine()
+        world.start()
+        world.overtake()
+        key = next(reversed(world.flows))
+        self.assertEqual(world.find_holders(key), ['10.0.0.6'])
 
     def test_search_that_waits_for_a_catalog_is_not_begun_anew(self) -> None:
         """Its verdict is due with the catalog, not with the next packet."""
