--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -36,12 +36,27 @@
             key
             for key, found in state.searches.items()
             if found.parked is not None
-            and (found.needed_revision or 0) <= state.confirmed_revision
+            and found.needed_revision <= state.confirmed_revision
         ],
         now,
     )
 
 
+def judge_by_frozen_mark(
+    state: Any,
+    route: Any,
+    found: Any,
+    key: bytes,
+    now: float,
+) -> Any:
+    """Stand in for a verdict that needs no change heard after the denials."""
+    heard = state.latest_change
+    state.latest_change = found.needed_revision or heard
+    effects = verdicts.give_verdict(state, route, found, key, now)
+    state.latest_change = heard
+    return effects
+
+
 def judge_after_the_wait(state: Any, now: float) -> Any:
     """Stand in for a search that asks nobody whose entry came back."""
     kept = [
@@ -135,6 +150,11 @@
         'resume_parked',
         judge_without_asking,
     ),
+    'a mark that is frozen at the denials': (
+        search,
+        'give_verdict',
+        judge_by_frozen_mark,
+    ),
     'a wait for entries whose upstreams are not asked': (
         balancer_reducer,
         'resume_kept',
