--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -103,13 +103,14 @@
         """Expect the caller of a flow that is reset to come again.
 
         The first packet of it that came here, ``searched`` seconds ago, may
-        have been a copy.
+        have been a copy.  Neither is known of the next request of that host:
+        it leaves earlier in doubt, and is not taken for one that has left.
         """
         opening = self.openings.get(key)
         given_up = now - defaults.GIVE_UP_SECONDS
         if opening is None:
-            requested = now - searched - defaults.RESET_AGE_SECONDS
-            doubt = defaults.RESET_DOUBT_SECONDS
+            requested = now - defaults.RESET_AGE_SECONDS
+            doubt = defaults.RESET_DOUBT_SECONDS + searched
         else:
             requested = opening.requested
             doubt = opening.in_doubt
