--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -12,8 +12,8 @@
     'FEWEST_PACE_SAMPLES',
     'FIRST_FAILING_STATUS',
     'FIRST_PACE_SAMPLES',
-    'FIRST_SLOTS',
     'FIRST_REGISTER_SECONDS',
+    'FIRST_SLOTS',
     'FLOW_LIFE_SECONDS',
     'FLOW_SECONDS',
     'HELD_PER_SLOT',
@@ -128,9 +128,10 @@
 #: Pause between registrations with a directory node, if only empty ones.
 REGISTER_SECONDS: Final = 1.0
 
-#: In the first second the pause is this times the number of shards: after an
-#: outage nodes start at any moment, and verdicts wait for the registrations
-#: that they missed.  At 1,000 upstreams a node gets 1,250 of them a second.
+#: In the agent's first second the pause is this times the number of shards:
+#: after an outage nodes start at any moment, and verdicts wait for the
+#: registrations that they missed.  At 1,000 upstreams a node gets 1,250 of
+#: them a second.
 FIRST_REGISTER_SECONDS: Final = 0.1
 
 #: A directory node speaks for an agent for so long after its last
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
@@ -116,20 +116,21 @@
     for node, stream in tuple(registrar.streams.items()):
         if now - stream.began >= defaults.RENEW_SECONDS:
             effects.extend(_begin_stream(state, node, now))
-        elif now - stream.sent_at >= _choose_pause(state, stream, now):
+        elif now - stream.sent_at >= _choose_pause(state, now):
             effects.append(_continue_stream(state, node, (), now))
     return tuple(effects)
 
 
-def _choose_pause(state: AgentState, stream: Stream, now: float) -> float:
+def _choose_pause(state: AgentState, now: float) -> float:
     """Return how long to wait with the next registration.
 
     A node that starts with this agent may have missed the first ones.  With
     more shards there are more agents, and more nodes to tell.
     """
-    if now - stream.began >= defaults.REGISTER_SECONDS:
+    registrar = state.registrar
+    if now - registrar.began >= defaults.REGISTER_SECONDS:
         return defaults.REGISTER_SECONDS
-    shards = len(state.registrar.directory.shards)
+    shards = len(registrar.directory.shards)
     pause = defaults.FIRST_REGISTER_SECONDS * shards
     return min(pause, defaults.REGISTER_SECONDS)
 
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -35,7 +35,13 @@
 from tests.packets.machine import PacketMachine
 from tests.packets.test_after_outage import WaitTestCase
 from tests.packets.test_balancer import FLOW, BalancerTestCase
-from tests.packets.test_directory import AgentTestCase
+from tests.packets.test_directory import (
+    FIRST,
+    HOSTS,
+    NODES,
+    OWN,
+    AgentTestCase,
+)
 from tests.packets.test_directory_search import SearchTestCase
 
 RESET = SendReset(make_packet(FLOW, ACK))
@@ -181,6 +187,25 @@
         self.now += 2 * agent_defaults.FIRST_REGISTER_SECONDS
         self.assertEqual(self.read(self.take(AgentTimerFired(self.now))), [])
 
+    def test_renewed_stream_is_no_first_second(self) -> None:
+        """Nodes that run for long have missed nothing."""
+        self.notice(is_young=True)
+        self.now += agent_defaults.RENEW_SECONDS
+        renewed = self.read(self.take(AgentTimerFired(self.now)))
+        self.assertEqual(len(renewed), 2)
+        self.now += 2 * agent_defaults.FIRST_REGISTER_SECONDS
+        self.assertEqual(self.read(self.take(AgentTimerFired(self.now))), [])
+
+    def test_changed_directory_is_no_first_second(self) -> None:
+        """Each change of the shards begins all streams anew."""
+        self.notice(is_young=True)
+        self.now += agent_defaults.REGISTER_SECONDS
+        other = next(host for host in HOSTS if host not in {*NODES, OWN})
+        moved = ((FIRST, other),)
+        self.assertEqual(len(self.notice(revision=6, shards=moved)), 2)
+        self.now += 2 * agent_defaults.FIRST_REGISTER_SECONDS
+        self.assertEqual(self.read(self.take(AgentTimerFired(self.now))), [])
+
     def test_large_directories_get_no_more_at_once(self) -> None:
         """With eight shards a thousand agents tell sixteen nodes each."""
         hosts = [f'10.0.{one // 250}.{one % 250}' for one in range(1000)]
