--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
@@ -1,6 +1,6 @@
 """Effects that the packet balancer asks its driver for."""
 
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from keelgap.packets.envelopes import Envelope
 
@@ -11,6 +11,7 @@
     'PacketEffect',
     'SendReset',
     'SendToAgent',
+    'keep_one_catch_up',
 )
 
 
@@ -47,3 +48,17 @@
 
 
 PacketEffect = Observed | SendToAgent | SendReset | CatchUp | Decided
+_CATCH_UP: Final = CatchUp()
+
+
+def keep_one_catch_up(
+    effects: tuple[PacketEffect, ...],
+) -> tuple[PacketEffect, ...]:
+    """Leave the first of those that one event leads to.
+
+    After an outage thousands of searches may wait for one catalog.
+    """
+    if len(effects) == 1 or effects.count(_CATCH_UP) <= 1:
+        return effects
+    others = tuple(one for one in effects if one != _CATCH_UP)
+    return (_CATCH_UP, *others)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -16,6 +16,7 @@
     Decided,
     Observed,
     PacketEffect,
+    keep_one_catch_up,
 )
 from keelgap_balancer.packets.ejection import (
     forget_ejections,
@@ -71,7 +72,8 @@
     event: PacketEvent,
 ) -> tuple[PacketState, Effects]:
     """Return the state after an event and what the driver must do."""
-    return state, _HANDLERS[type(event)](state, event)
+    effects = _HANDLERS[type(event)](state, event)
+    return state, keep_one_catch_up(effects)
 
 
 def _take_caller_packet(state: PacketState, event: CallerPacket) -> Effects:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -190,7 +190,6 @@
         'asked',
         'denied',
         'heard',
-        'is_told',
         'kept_since',
         'latest',
         'lookups',
@@ -204,6 +203,7 @@
         'questions',
         'renewed',
         'started',
+        'told',
         'tried',
     )
 
@@ -223,8 +223,8 @@
         self.needed_revision = 0
         #: Since when it waits for entries that may come back.
         self.kept_since: float | None = None
-        #: Whether a line told of that.
-        self.is_told = False
+        #: Names of the lines that told of a wait.
+        self.told: set[str] = set()
         #: Whether an agent warned that living upstreams may have no entry.
         self.may_lack_entries = False
         #: Hosts asked, in order.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -163,7 +163,8 @@
     if search.needed_revision > state.confirmed_revision:
         search.parked = datagram
         fields['latest_change'] = search.needed_revision
-        return CatchUp(), Decided('verdict_waits_for_catalog', fields)
+        told = _tell_once(search, 'verdict_waits_for_catalog', fields)
+        return CatchUp(), *told
     if search.may_lack_entries and state.is_newly_informed(now):
         return _wait_for_entries(search, fields, now)
     state.searches.pop(key, None)
@@ -178,7 +179,16 @@
 ) -> Effects:
     """Keep a search until entries that lapsed are back."""
     search.kept_since = now
-    if search.is_told:
+    return _tell_once(search, 'no_verdict_without_entries', fields)
+
+
+def _tell_once(
+    search: Search,
+    name: str,
+    fields: dict[str, object],
+) -> Effects:
+    """Tell of a wait; hundreds of searches may wait again each catalog."""
+    if name in search.told:
         return ()
-    search.is_told = True
-    return (Decided('no_verdict_without_entries', fields),)
+    search.told.add(name)
+    return (Decided(name, fields),)
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -6,7 +6,12 @@
 
 from typing import Any
 
-from keelgap.packets.directory import make_directory
+from keelgap.packets.directory import digest_hosts, make_directory
+from keelgap.packets.directory_messages import (
+    Lookup,
+    pack_coverage,
+    pack_lookup,
+)
 from keelgap.packets.envelopes import (
     NO_STAMP,
     CallerWait,
@@ -19,6 +24,7 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import CatchUp, Decided, SendReset
 from keelgap_balancer.packets.events import (
+    PacketEvent,
     StampHeard,
     StoreSeen,
     TimerFired,
@@ -40,6 +46,7 @@
     HOSTS,
     NODES,
     OWN,
+    SECOND,
     AgentTestCase,
 )
 from tests.packets.test_directory_search import SearchTestCase
@@ -218,6 +225,19 @@
 class NeededRevisionTests(SearchTestCase):
     """Upstreams that started together change their entries for seconds."""
 
+    def setUp(self) -> None:
+        """Keep the names of all lines."""
+        self.told: list[str] = []
+        super().setUp()
+
+    def take(self, event: PacketEvent) -> list[Any]:
+        """Reduce one event."""
+        effects = super().take(event)
+        self.told.extend(
+            one.name for one in effects if isinstance(one, Decided)
+        )
+        return effects
+
     def ask_anew(self) -> list[Any]:
         """Let both nodes deny the flow again; return what follows."""
         effects: list[Any] = []
@@ -289,6 +309,35 @@
         key = next(reversed(world.flows))
         self.assertEqual(world.find_holders(key), ['10.0.0.6'])
 
+    def test_one_line_tells_of_a_flow_that_waits(self) -> None:
+        """Catalogs may come many times a second, and lack a change each."""
+        self.wait_for_catalog()
+        for revision in (9, 10, 11):
+            later = Stamp(revision + 1, may_lack_entries=False)
+            self.take(StampHeard(self.now, later))
+            self.change(make_catalog(revision, self.boards))
+            self.assertIn(CatchUp(), self.ask_anew())
+        self.assertEqual(self.told.count('verdict_waits_for_catalog'), 1)
+
+    def test_many_searches_read_the_store_once(self) -> None:
+        """After an outage thousands wait for one catalog."""
+        self.stamp = Stamp(20, may_lack_entries=False)
+        flows = [FLOW._replace(port=port) for port in range(1, 30)]
+        for flow in flows:
+            self.send(ACK, flow)
+        rows = tuple((flow.key, ()) for flow in flows)
+        content = pack_lookup(Lookup(digest_hosts(self.covered), rows))
+        waits: list[int] = []
+        for node in (FIRST, SECOND):
+            for part in pack_coverage(self.covered):
+                self.answer(node, EnvelopeKind.COVERED, part)
+            effects = self.answer(node, EnvelopeKind.FOUND, content)
+            waits.append(effects.count(CatchUp()))
+        self.assertEqual(waits, [0, 1])
+        searches = self.state.searches.values()
+        parked = sum(one.is_waiting for one in searches)
+        self.assertEqual(parked, len(flows))
+
     def test_search_that_waits_for_a_catalog_is_not_begun_anew(self) -> None:
         """Its verdict is due with the catalog, not with the next packet."""
         self.stamp = Stamp(9, may_lack_entries=False)
