--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
@@ -27,11 +27,13 @@
 def _is_late(search: Search, now: float) -> bool:
     """Return whether to give a search up.
 
-    One that waits asks nobody, and goes on before its caller comes again.
+    One that waits asks nobody, and goes on before its caller comes again; a
+    caller that was not heard again has left, whatever is being asked.
     """
-    if search.is_waiting:
-        return now - search.heard > defaults.REPEAT_SECONDS
-    return now - search.renewed > defaults.SEARCH_SECONDS
+    if now - search.heard > defaults.REPEAT_SECONDS:
+        return True
+    is_long = now - search.renewed > defaults.SEARCH_SECONDS
+    return is_long and not search.is_waiting
 
 
 def _give_up(state: PacketState, key: bytes, search: Search) -> Effects:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
@@ -67,7 +67,9 @@
     if now - node.asked_at < defaults.SEARCH_STEP_SECONDS:
         return ()
     for key, search in state.searches.items():
-        if search.pending is None and search.lacks_answer(host):
+        if search.is_waiting or search.pending is not None:
+            continue
+        if search.lacks_answer(host):
             search.lookups.add(host)
             search.pending_since = now
             node.waiting[key] = None
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -319,6 +319,33 @@
             self.assertIn(CatchUp(), self.ask_anew())
         self.assertEqual(self.told.count('verdict_waits_for_catalog'), 1)
 
+    def test_search_of_a_caller_that_left_ends_although_catalogs_come(
+        self,
+    ) -> None:
+        """Each catalog lets it ask anew, for a second."""
+        self.wait_for_catalog()
+        for revision in range(9, 14):
+            self.change(make_catalog(revision, self.boards))
+            later = Stamp(revision + 1, may_lack_entries=False)
+            self.take(StampHeard(self.now, later))
+            self.ask_anew()
+            self.now += defaults.REPEAT_SECONDS / 4
+        self.change(make_catalog(14, self.boards))
+        self.take(TimerFired(self.now))
+        self.assertNotIn(FLOW.key, self.state.searches)
+
+    def test_node_that_speaks_is_not_asked_by_searches_that_wait(self) -> None:
+        """Their catalog lets them ask it."""
+        self.wait_for_catalog()
+        search = self.state.searches[FLOW.key]
+        search.denied.pop(FIRST)
+        node = self.state.nodes[FIRST]
+        node.asked_at = self.now
+        node.is_asked_again = False
+        self.now += defaults.SEARCH_STEP_SECONDS
+        self.report(FIRST)
+        self.assertEqual(search.lookups, set())
+
     def test_many_searches_read_the_store_once(self) -> None:
         """After an outage thousands wait for one catalog."""
         self.stamp = Stamp(20, may_lack_entries=False)
