--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -62,8 +62,7 @@
         search = Search(now)
         state.searches[key] = search
     search.take_packet(datagram, now)
-    if search.parked is not None:
-        search.parked = datagram
+    if search.is_parked:
         return (CatchUp(),)
     if search.is_waiting:
         return ()
@@ -242,7 +241,7 @@
     if not state.is_behind:
         state.searches.pop(key, None)
         return (decided,)
-    search.parked = search.latest
+    search.is_parked = True
     return CatchUp(), decided
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -190,6 +190,7 @@
         'asked',
         'denied',
         'heard',
+        'is_parked',
         'kept_since',
         'latest',
         'lookups',
@@ -197,7 +198,6 @@
         'missed',
         'named',
         'needed_revision',
-        'parked',
         'pending',
         'pending_since',
         'questions',
@@ -216,8 +216,8 @@
         self.heard = now
         #: Latest packet of the flow, with which the next agent is asked.
         self.latest = b''
-        #: Packet that waits for a later catalog, after everybody said no.
-        self.parked: bytes | None = None
+        #: Whether it waits for a later catalog, after everybody said no.
+        self.is_parked = False
         #: Revision that the catalog must have before the search goes on: the
         #: latest that was heard of when everybody had said no.
         self.needed_revision = 0
@@ -272,7 +272,7 @@
     @property
     def is_waiting(self) -> bool:
         """Return whether nobody is to be asked before something changes."""
-        return self.parked is not None or self.kept_since is not None
+        return self.is_parked or self.kept_since is not None
 
     def lacks_answer(self, node: str) -> bool:
         """Return whether a directory node was asked and did not answer."""
@@ -280,7 +280,7 @@
 
     def end_wait(self, now: float) -> None:
         """Go on to ask, for as long as a new search would."""
-        self.parked = None
+        self.is_parked = False
         self.kept_since = None
         self.renewed = now
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -156,12 +156,11 @@
         'milliseconds': round((now - search.started) * 1000, 1),
         'revision': state.confirmed_revision,
     }
-    datagram = search.latest
     # A change may be heard of after the denials and still be older than the
     # flow: the mark rises with each verdict that is sought.
     search.needed_revision = state.latest_change if state.is_behind else 0
     if search.needed_revision > state.confirmed_revision:
-        search.parked = datagram
+        search.is_parked = True
         fields['latest_change'] = search.needed_revision
         told = _tell_once(search, 'verdict_waits_for_catalog', fields)
         return CatchUp(), *told
@@ -169,7 +168,7 @@
         return _wait_for_entries(search, fields, now)
     state.searches.pop(key, None)
     state.ages.note_reset(key, now, now - search.started)
-    return SendReset(datagram), Decided('reset_dead_flow', fields)
+    return SendReset(search.latest), Decided('reset_dead_flow', fields)
 
 
 def _wait_for_entries(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
@@ -21,7 +21,7 @@
     """Go on with searches that waited for a later catalog."""
     effects: list[PacketEffect] = []
     for key, search in tuple(state.searches.items()):
-        if search.parked is None:
+        if not search.is_parked:
             continue
         if search.needed_revision > state.confirmed_revision:
             continue
--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -35,7 +35,7 @@
         [
             key
             for key, found in state.searches.items()
-            if found.parked is not None
+            if found.is_parked
             and found.needed_revision <= state.confirmed_revision
         ],
         now,
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -170,7 +170,7 @@
     ) -> None:
         """The entry of its upstream's former start came first.
 
-        Found on hcs-kathmandu-grown trouble-1: verdicts of all balancers
+        After an outage of everything: verdicts of all balancers
         waited for the next registration, a second later.
         """
         self.notice()
@@ -388,8 +388,8 @@
     def test_packet_that_was_reset_may_have_been_the_last_copy(self) -> None:
         """Such a caller leaves first of all who return from an outage.
 
-        Found on hcs-kathmandu-grown trouble-2: half of the 855 callers who
-        left their upstream's queue did so within 0.75 s of the reset.
+        Half of the callers who left their upstream's queue after an outage
+        did so within 0.75 s of the reset.
         """
         wait = self.retry()
         oldest = 1000 * OPENING_SECONDS
