--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -161,6 +161,16 @@
             service = 'proof' if service == 'board' else 'board'
         self._add_upstream(number, service)
 
+    @rule(number=st.sampled_from(HOSTS))
+    def change_service(self, number: int) -> None:
+        """A host serves the other service; one balancer offers it flows."""
+        service = self._get_upstream(number).row.service
+        self.learn(BALANCERS[1])
+        self.crash(number, reuse=True)
+        for _ in self.hosts[:4]:
+            self.open(service, BALANCERS[1], 0)
+        self.deliver_all()
+
     @rule(number=st.sampled_from(HOSTS))
     def restart_agent(self, number: int) -> None:
         """Restart an agent; its upstream lives on with its flows."""
