--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -9,6 +9,9 @@
 for the caller may have chosen another one.  If the upstream gives bad answers,
 those who wait get theirs: some are good, and the others come as soon as a
 reset would.
+
+An agent that is younger than its upstream gives up nothing: what looks new to
+it may be a late copy of a flow that is open.
 """
 
 from keelgap.packets.envelopes import OPENING_KINDS
@@ -50,7 +53,9 @@
 
 def give_back_opening(state: AgentState, key: bytes, now: float) -> Effects:
     """Give a flow back whose opening packet the upstream did not answer."""
-    event = state.outcomes.unopened[key]
+    event = state.outcomes.unopened.pop(key)
+    if not state.registrar.is_complete:
+        return ()
     fields = _describe(state, key, now - event.now)
     _forget(state, key, now, is_reset=False)
     miss = state.give_back(event.sender, event.envelope)
@@ -61,8 +66,10 @@
     """Reset a flow whose request came, while the upstream is ejected."""
     ejection = state.outcomes.ejection
     held = state.held[key]
-    is_lost = ejection.is_out and ejection.is_silent
-    if not is_lost or ejection.is_taken(key) or not held.packets:
+    is_known = state.registrar.is_complete
+    if not is_known or not ejection.is_out or not ejection.is_silent:
+        return ()
+    if ejection.is_taken(key) or not held.packets:
         return ()
     datagram = next(iter(held.packets.values())).envelope.content
     flow = state.flows[key]
--- a/tests/packets/ejection_world.py
+++ b/tests/packets/ejection_world.py
@@ -141,6 +141,8 @@
         self.agents: dict[str, AgentState] = {}
         for host in self.upstreams:
             self.restart_agent(host)
+            # Agent and upstream have started together.
+            self.agents[host].registrar.is_complete = True
         self.balancers = {
             f'10.1.0.{number + 1}': PacketState(FORMAT, 'a', self.now, features)
             for number in range(balancers)
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -8,7 +8,15 @@
 from keelgap.packets.features import NO_FEATURES
 from keelgap_agent.packets.outcomes import defaults
 from keelgap_agent.packets.state import Flow
-from tests.packets.building import ACK, FORMAT, SYN, make_packet, make_upstream
+from tests.packets.building import (
+    ACK,
+    FORMAT,
+    RST,
+    SYN,
+    FlowName,
+    make_packet,
+    make_upstream,
+)
 from tests.packets.ejection_world import (
     GOOD,
     ON,
@@ -44,6 +52,11 @@
     return lambda number, route: 'reset' if 10 <= number < 10 + resets else GOOD
 
 
+def list_resets(world: World, flow: FlowName) -> list[bytes]:
+    """Return the resets that a caller got."""
+    return [packet for packet in world.to_caller[flow.key] if packet[26] & RST]
+
+
 def play(world: World, seconds: float, each_tick: int = 20) -> Counter[str]:
     """Send requests at a steady pace; two of three may be repeated."""
     ends: Counter[str] = Counter()
@@ -315,6 +328,43 @@
         self.assertEqual(world.list_ejected(), [])
 
 
+class RestartedAgentTests(TestCase):
+    """An agent that is younger than its upstream knows not all flows."""
+
+    def reopen(self, treatment: str) -> tuple[World, FlowName]:
+        """Return a flow of which a copy came late, beside a silent upstream."""
+        world = World([fail_all('hang')])
+        (host,) = world.agents
+        flow = world.open()
+        world.send_request(flow)
+        world.restart_agent(host)
+        world.upstreams[host].treatment = fail_all(treatment)
+        world.advance(defaults.GRACE_SECONDS)
+        world.send('10.1.0.1', make_packet(flow, SYN, ack=1))
+        for _ in range(8):
+            world.send_request(world.open())
+        for _ in range(4):
+            world.advance(0.3)
+            if treatment == 'hang':
+                world.send_request(flow)
+        self.assertEqual(world.list_ejected(), [host])
+        return world, flow
+
+    def test_no_open_flow_is_reset(self) -> None:
+        """A late copy of its opening packet makes it look like a new one."""
+        world, flow = self.reopen('hang')
+        self.assertEqual(list_resets(world, flow), [])
+
+    def test_no_open_flow_is_given_back(self) -> None:
+        """Nobody else could serve it."""
+        world, flow = self.reopen('mute')
+        for upstream in world.upstreams.values():
+            upstream.treatment = serve
+        world.advance(1)
+        self.assertEqual(world.send_request(flow), GOOD)
+        self.assertEqual(list_resets(world, flow), [])
+
+
 class FleetTests(TestCase):
     """What balancers make of it."""
 
