--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         """Start as an upstream that is not ejected."""
         self.is_out = False
-        #: Whether the upstream gives no answers, rather than bad ones.
+        #: Whether requests get no answers, rather than bad ones.
         self.is_silent = False
         #: Whether one more request should try it.
         self.wants_trial = False
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -193,27 +193,24 @@
     is_young = now - outcomes.began < defaults.GRACE_SECONDS
     if is_young or outcomes.awake_since > limit:
         return ()
+    late = [
+        key
+        for key, event in outcomes.unopened.items()
+        if event.now <= limit and event.envelope.hop < defaults.FORCED_HOP
+    ]
     effects: list[AgentEffect] = []
-    for key, event in tuple(outcomes.unopened.items()):
-        if event.now > limit:
-            break
-        if event.envelope.hop < defaults.FORCED_HOP:
-            effects.extend(_judge_opening(state, key, now))
+    for key in late:
+        if key not in state.held:
+            outcomes.unopened.pop(key, None)
+            continue
+        if not effects:
+            # One short pause makes all of them late.
+            effects.extend(note_outcome(state, key, Outcome.UNOPENED, now))
+        if key in outcomes.unopened:
+            effects.extend(give_back_opening(state, key, now))
     return tuple(effects)
 
 
-def _judge_opening(state: AgentState, key: bytes, now: float) -> Effects:
-    outcomes = state.outcomes
-    if key not in state.held:
-        outcomes.unopened.pop(key, None)
-        return ()
-    judged = note_outcome(state, key, Outcome.UNOPENED, now)
-    if key not in outcomes.unopened:
-        # It was given up with all that waits.
-        return judged
-    return (*judged, *give_back_opening(state, key, now))
-
-
 def _judge_requests(state: AgentState, now: float) -> Effects:
     outcomes = state.outcomes
     limit = now - _choose_patience(state)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/score.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/score.py
@@ -12,7 +12,7 @@
 
 from keelgap_agent.packets.outcomes import defaults
 
-__all__ = ('SILENT_OUTCOMES', 'Outcome', 'Score')
+__all__ = ('Outcome', 'Score')
 
 
 @unique
@@ -36,9 +36,6 @@
     UNOPENED = 'unopened'
 
 
-#: Of an upstream that keeps its callers waiting.
-SILENT_OUTCOMES: Final = frozenset((Outcome.SILENT, Outcome.UNOPENED))
-
 _ROUTE_WEIGHTS: Final = MappingProxyType({
     Outcome.REFUSED: defaults.REFUSED_WEIGHT,
     Outcome.ERROR: defaults.ERROR_WEIGHT,
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
@@ -5,11 +5,7 @@
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.outcomes import defaults
 from keelgap_agent.packets.outcomes.giving_up import give_up_all
-from keelgap_agent.packets.outcomes.score import (
-    SILENT_OUTCOMES,
-    Outcome,
-    Score,
-)
+from keelgap_agent.packets.outcomes.score import Outcome, Score
 from keelgap_agent.packets.state import AgentState
 
 __all__ = ('note_outcome',)
@@ -48,7 +44,7 @@
     now: float,
 ) -> Effects:
     outcomes = state.outcomes
-    outcomes.ejection.eject(now, is_silent=outcome in SILENT_OUTCOMES)
+    outcomes.ejection.eject(now, is_silent=outcome is Outcome.SILENT)
     outcomes.has_news = True
     fields = {
         **_describe(state, key, outcome, now),
@@ -68,14 +64,34 @@
 ) -> Effects:
     ejection = state.outcomes.ejection
     if key not in ejection.trials:
-        return ()
-    ejection.is_silent = outcome in SILENT_OUTCOMES
+        return _note_silence(state, outcome, now)
+    ejection.is_silent = outcome is Outcome.SILENT
     ejection.note_trial(key, now, is_good=False)
     state.outcomes.has_news = True
     trial = Decided('upstream_trial', _describe(state, key, outcome, now))
     return (trial, *give_up_all(state, now))
 
 
+def _note_silence(
+    state: AgentState,
+    outcome: Outcome,
+    now: float,
+) -> Effects:
+    """Give up what waits, if an upstream ejected before is found silent.
+
+    It takes as many silent requests as would have ejected it.
+    """
+    outcomes = state.outcomes
+    proof = len(outcomes.stuck) * defaults.LOST_WEIGHT
+    is_known = outcomes.ejection.is_silent
+    if is_known or outcome is not Outcome.SILENT:
+        return ()
+    if proof < defaults.EJECTION_SCORE:
+        return ()
+    outcomes.ejection.is_silent = True
+    return give_up_all(state, now)
+
+
 def _note_good(state: AgentState, key: bytes, now: float) -> Effects:
     outcomes = state.outcomes
     ejection = outcomes.ejection
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -202,6 +202,46 @@
             {GOOD},
         )
 
+    def test_a_pause_of_the_upstream_resets_nobody(self) -> None:
+        """Its openings are late, its requests are not."""
+        world = World([fail_all('hang'), serve])
+        host = next(iter(world.upstreams))
+        flows = [world.open() for _ in range(24)]
+        for flow in flows:
+            world.send_request(flow)
+        self.assertGreater(len(world.agents[host].held), 4)
+        world.upstreams[host].treatment = fail_all('mute')
+        for _ in range(8):
+            for _ in range(4):
+                world.open()
+            world.advance(0.05)
+        world.advance(0.2)
+        self.assertEqual(world.list_decided('reset_ejected'), [])
+        # What is found later counts: the requests are silent, too.
+        world.upstreams[host].treatment = fail_all('hang')
+        world.advance(1.2)
+        self.assertEqual(world.list_ejected(), [host])
+        self.assertGreater(len(world.list_decided('reset_ejected')), 4)
+
+    def test_openings_of_one_moment_are_one_sign(self) -> None:
+        """One short pause fails them all."""
+        world = World([serve, serve])
+        host = next(iter(world.upstreams))
+        world.upstreams[host].treatment = fail_all('mute')
+        flows = [world.open() for _ in range(30)]
+        world.advance(0.4)
+        self.assertEqual(len(world.list_decided('outcome_unopened')), 1)
+        self.assertGreater(len(world.list_decided('miss_unopened')), 4)
+        world.upstreams[host].treatment = serve
+        self.assertEqual({world.send_request(flow) for flow in flows}, {GOOD})
+        self.assertEqual(world.list_ejected(), [])
+
+    def test_upstream_that_opens_nothing_is_ejected(self) -> None:
+        """Openings of a few moments prove that it is gone."""
+        world = World([fail_all('mute'), serve, serve])
+        play(world, 0.6)
+        self.assertEqual(world.list_ejected(), list(world.upstreams)[:1])
+
     def test_a_pause_of_the_agent_proves_nothing(self) -> None:
         """Its machine stood still, and the upstream's with it."""
         world = World([fail_all('mute'), serve, serve])
@@ -344,6 +384,7 @@
         for _ in range(8):
             world.send_request(world.open())
         for _ in range(4):
+            world.open()
             world.advance(0.3)
             if treatment == 'hang':
                 world.send_request(flow)
