--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
@@ -31,6 +31,7 @@
     'SHORTEST_SILENCE_SECONDS',
     'SHORTEST_WAIT_SECONDS',
     'SILENCE_ANSWERS',
+    'SLOW_ANSWERS',
     'TRIAL_SECONDS',
 )
 
@@ -71,12 +72,16 @@
 
 #: A request without an answer is lost after so many usual times to an answer,
 #: within these bounds: callers wait two seconds and more, and those who would
-#: come next must be spared before that.  An upstream at a quarter of its pace
-#: answers before the lower one.
+#: come next must be spared before that.  The longest holds also until the
+#: first answers show what is usual.
 SILENCE_ANSWERS: Final = 8
 SHORTEST_SILENCE_SECONDS: Final = 0.8
 LONGEST_SILENCE_SECONDS: Final = 1.5
 
+#: But never before so many usual times: an upstream at a quarter of its pace
+#: is slow, and its callers wait for it longer.
+SLOW_ANSWERS: Final = 5
+
 #: Where others are answered, a silent request counts once so many answers
 #: more than there were requests before it have come: it was overtaken.
 OVERTAKEN_ANSWERS: Final = 4
@@ -119,7 +124,8 @@
 LAST_RESORT_SECONDS: Final = 3.0
 
 #: A request of a trial that has no outcome after so long had a caller that
-#: left without a word.
+#: left without a word; or after twice the time in which it would be found
+#: silent, if that is longer.
 TRIAL_SECONDS: Final = 4.0
 
 #: An opening packet that so many agents gave back is taken: if most
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
@@ -15,6 +15,7 @@
         'is_silent',
         'returned_at',
         'since',
+        'trial_seconds',
         'trials',
         'wait',
         'wanted_since',
@@ -39,6 +40,8 @@
         self.good_trials = 0
         #: Flows that try it, and when each was taken.
         self.trials: dict[bytes, float] = {}
+        #: How long each may take.
+        self.trial_seconds = defaults.TRIAL_SECONDS
         #: Other flows taken because nobody else took them.
         self.forced: set[bytes] = set()
 
@@ -106,7 +109,7 @@
 
     def update(self, now: float) -> None:
         """Find out whether one more trial is wanted."""
-        limit = now - defaults.TRIAL_SECONDS
+        limit = now - self.trial_seconds
         self.trials = {
             key: at for key, at in self.trials.items() if at >= limit
         }
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -132,7 +132,7 @@
     flow.opened_with = None
     if flow.work is None and not is_overtaken:
         return ()
-    state.outcomes.answers += 1
+    state.outcomes.note_answer(flow.work)
     # A request whose flow was closed first counts no more.
     at_work = state.busy + (flow.work is None)
     outcome = _find_outcome(state, datagram, at_work)
@@ -183,6 +183,11 @@
     """Judge what has had no answer for too long."""
     if not state.features.ejection:
         return ()
+    patience = _choose_patience(state)
+    state.outcomes.ejection.trial_seconds = max(
+        defaults.TRIAL_SECONDS,
+        2 * patience,
+    )
     state.outcomes.tick(now)
     return (*_judge_openings(state, now), *_judge_requests(state, now))
 
@@ -227,9 +232,16 @@
 
 
 def _choose_patience(state: AgentState) -> float:
-    usual = defaults.SILENCE_ANSWERS * state.answer_seconds
-    longest = min(usual, defaults.LONGEST_SILENCE_SECONDS)
-    return max(longest, defaults.SHORTEST_SILENCE_SECONDS)
+    """Return how long a request may go without an answer."""
+    answer = state.answer_seconds
+    longest = max(
+        defaults.LONGEST_SILENCE_SECONDS,
+        defaults.SLOW_ANSWERS * answer,
+    )
+    if not state.outcomes.answers:
+        return longest
+    usual = min(defaults.SILENCE_ANSWERS * answer, longest)
+    return max(usual, defaults.SHORTEST_SILENCE_SECONDS)
 
 
 def _is_overdue(state: AgentState, work: Work) -> bool:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/score.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/score.py
@@ -89,6 +89,10 @@
         score.total = _add(score.total, weight)
         score.in_a_row = 0
 
+    def take_back_silence(self) -> None:
+        """Note that a request which counted as silent was answered."""
+        self._lost = max(self._lost - defaults.LOST_WEIGHT, 0)
+
     def compute(self, now: float) -> float:
         """Return the sum, with each route bounded if others are served."""
         return self._lost + sum(
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/state.py
@@ -83,6 +83,13 @@
         self.at_work.pop(work, None)
         self.stuck.add(work)
 
+    def note_answer(self, work: Work | None) -> None:
+        """Note an answer; one that was overdue shows a slow upstream."""
+        self.answers += 1
+        if work in self.stuck:
+            self.score.take_back_silence()
+            self.ejection.is_silent = False
+
     def count_stuck(self) -> int:
         """Return the requests that take no room from a trial."""
         return len(self.stuck) if self.ejection.is_out else 0
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
@@ -44,7 +44,8 @@
     now: float,
 ) -> Effects:
     outcomes = state.outcomes
-    outcomes.ejection.eject(now, is_silent=outcome is Outcome.SILENT)
+    is_silent = _shows_silence(state, outcome)
+    outcomes.ejection.eject(now, is_silent=is_silent)
     outcomes.has_news = True
     fields = {
         **_describe(state, key, outcome, now),
@@ -77,21 +78,26 @@
     outcome: Outcome,
     now: float,
 ) -> Effects:
-    """Give up what waits, if an upstream ejected before is found silent.
-
-    It takes as many silent requests as would have ejected it.
-    """
-    outcomes = state.outcomes
-    proof = len(outcomes.stuck) * defaults.LOST_WEIGHT
-    is_known = outcomes.ejection.is_silent
-    if is_known or outcome is not Outcome.SILENT:
-        return ()
-    if proof < defaults.EJECTION_SCORE:
+    """Give up what waits, if an upstream ejected before is found silent."""
+    ejection = state.outcomes.ejection
+    if ejection.is_silent or not _shows_silence(state, outcome):
         return ()
-    outcomes.ejection.is_silent = True
+    ejection.is_silent = True
     return give_up_all(state, now)
 
 
+def _shows_silence(state: AgentState, outcome: Outcome) -> bool:
+    """Return whether those who wait would wait for nothing.
+
+    It takes as many silent requests as would eject an upstream, and an answer
+    before them: until then nobody knows how long answers take.
+    """
+    if outcome is not Outcome.SILENT or not state.outcomes.answers:
+        return False
+    proof = len(state.outcomes.stuck) * defaults.LOST_WEIGHT
+    return proof >= defaults.EJECTION_SCORE
+
+
 def _note_good(state: AgentState, key: bytes, now: float) -> Effects:
     outcomes = state.outcomes
     ejection = outcomes.ejection
--- a/tests/packets/ejection_world.py
+++ b/tests/packets/ejection_world.py
@@ -214,6 +214,18 @@
         self.send(hosts[(flow.port + 1) % len(hosts)], packet)
         return self.read_end(flow)
 
+    def answer(self, host: str, flow: FlowName) -> None:
+        """Let an upstream answer a request that hung so far."""
+        packet = make_packet(
+            flow,
+            ACK,
+            back=True,
+            seq=_FIRST + 1,
+            data=ANSWERS[GOOD],
+        )
+        self._run_agent(host, agent_events.UpstreamPacket(self.now, packet))
+        self._deliver()
+
     def read_end(self, flow: FlowName) -> str:
         """Return what the caller has got behind the opening packet."""
         ends = map(_read_end, self.to_caller[flow.key][1:])
