--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -95,6 +95,7 @@
     if state.format.flags(datagram) & ENDS_FLOW:
         state.held.pop(key)
         state.flows[key].ended = True
+        state.outcomes.forget(key)
         left = Decided('left_waiting', _describe(state, key, held, event.now))
         return (*owned, state.pass_on(event.sender, envelope), left)
     if not state.format.data_length(datagram):
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -57,9 +57,11 @@
     if not state.registrar.is_complete:
         return ()
     fields = _describe(state, key, now - event.now)
+    # Data show that the caller chose another upstream, so only they matter.
+    events = tuple(state.held[key].packets.values()) or (event,)
     _forget(state, key, now, is_reset=False)
-    miss = state.give_back(event.sender, event.envelope)
-    return miss, Decided('miss_unopened', fields)
+    misses = [state.give_back(one.sender, one.envelope) for one in events]
+    return *misses, Decided('miss_unopened', fields)
 
 
 def give_up_ready(state: AgentState, key: bytes, now: float) -> Effects:
@@ -94,11 +96,14 @@
     """
     envelope = event.envelope
     datagram = envelope.content
-    if not state.outcomes.given_up[key].is_reset:
+    is_opening = envelope.kind in OPENING_KINDS
+    # A caller that was reset may open a new flow from the same port.
+    is_new = is_opening and not state.format.copies(datagram)
+    if is_new or not state.outcomes.given_up[key].is_reset:
         miss = state.give_back(event.sender, envelope)
         return miss, Decided('miss_given_up')
     is_over = state.format.flags(datagram) & ENDS_FLOW
-    if is_over or envelope.kind in OPENING_KINDS:
+    if is_over or is_opening:
         return (Decided('drop_given_up'),)
     reset = SendToCaller(state.format.make_reset(datagram))
     return reset, Decided('reset_given_up')
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -245,7 +245,12 @@
 
 
 def _is_overdue(state: AgentState, work: Work) -> bool:
-    """Return whether nobody is answered, or those who came later are."""
+    """Return whether nobody is answered, or those who came later are.
+
+    While the upstream is ejected answers are rare, and prove nothing.
+    """
+    if state.outcomes.ejection.is_out:
+        return True
     answers = state.outcomes.answers - work.answers
     overtaken = 2 * work.before + defaults.OVERTAKEN_ANSWERS
     return not answers or answers >= overtaken
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -510,6 +510,115 @@
         self.assertEqual(list_resets(world, flow), [])
 
 
+class GivenUpTests(TestCase):
+    """What comes late of a flow that its agent gave up."""
+
+    def hold(self) -> tuple[World, str, FlowName]:
+        """Return a flow that waits for a silent upstream with no room."""
+        world = World([hang_from(4)])
+        (host,) = world.agents
+        for _ in range(4):
+            world.ask()
+        for _ in range(4):
+            world.send_request(world.open())
+        flow = world.open()
+        world.send_request(flow)
+        return world, host, flow
+
+    def test_request_that_chose_another_upstream_goes_there(self) -> None:
+        """A second opening here is late; its balancer waits for no word."""
+        world = World([hang_from(4), serve])
+        host, other = world.upstreams
+        while world.upstreams[host].seen < 4:
+            world.ask()
+        while world.agents[host].has_room:
+            world.send_request(world.open())
+        world.upstreams[host].treatment = fail_all('mute')
+        flow = FlowName('100.64.0.8', 1, WRITE)
+        balancers = sorted(world.balancers)
+        for balancer, chosen in zip(balancers, (other, host), strict=True):
+            for view in world.balancers[balancer].agents.values():
+                view.picks = 0 if view.host == chosen else 50
+            world.send(balancer, make_packet(flow, SYN))
+        self.assertIn(flow.key, world.upstreams[other].open)
+        self.assertIn(flow.key, world.agents[host].held)
+        request = make_packet(flow, ACK, ack=1001, data=b'GET')
+        world.send(balancers[1], request)
+        self.assertEqual(world.read_end(flow), 'silent')
+        world.sent.clear()
+        world.advance(0.4)
+        missed = [
+            FORMAT.data_length(envelope.content)
+            for _, sender, envelope in world.sent
+            if sender == host and envelope.kind == EnvelopeKind.MISS
+        ]
+        self.assertEqual(missed, [len(b'GET')])
+        self.assertEqual(world.read_end(flow), GOOD)
+
+    def test_caller_that_leaves_frees_its_trial(self) -> None:
+        """It leaves before its request could pass."""
+        world, host, flow = self.hold()
+        world.advance(1)
+        agent = world.agents[host]
+        self.assertEqual(world.list_ejected(), [host])
+        trial = FlowName('100.64.0.8', 1, READ)
+        agent.outcomes.ejection.wait = 0
+        agent.outcomes.ejection.update(world.now)
+        world.send('10.1.0.1', make_packet(trial, SYN))
+        self.assertIn(trial.key, agent.outcomes.ejection.trials)
+        world.send('10.1.0.1', make_packet(trial, RST, seq=4))
+        self.assertEqual(agent.outcomes.ejection.trials, {})
+
+    def test_silent_trial_fails_though_another_is_answered(self) -> None:
+        """Answers are rare then, so none is overtaken by many."""
+        world, host, _ = self.hold()
+        agent = world.agents[host]
+        agent.answer_seconds = 0.1
+        first = next(iter(agent.outcomes.at_work)).key
+        world.advance(1)
+        ejection = agent.outcomes.ejection
+        ejection.wait = 0
+        ejection.update(world.now)
+        world.send_request(world.open(READ))
+        self.assertEqual(len(ejection.trials), 1)
+        port = int.from_bytes(first[4:6], 'little')
+        world.answer(host, FlowName('100.64.0.7', port, WRITE))
+        world.advance(defaults.LONGEST_SILENCE_SECONDS + 0.1)
+        (trial,) = world.list_decided('upstream_trial')
+        self.assertEqual(trial['outcome'], 'silent')
+
+    def test_trial_of_a_slow_upstream_is_given_its_time(self) -> None:
+        """Else it would end without an outcome, and the next begin at once."""
+        world = World([fail_all('hang')])
+        (host,) = world.agents
+        agent = world.agents[host]
+        agent.answer_seconds = 2
+        agent.outcomes.ejection.eject(world.now, is_silent=True)
+        world.advance(1.2)
+        trial = world.open(READ)
+        world.send_request(trial)
+        world.advance(9)
+        self.assertIn(trial.key, agent.outcomes.ejection.trials)
+        world.advance(1.2)
+        (failed,) = world.list_decided('upstream_trial')
+        self.assertEqual(failed['outcome'], 'silent')
+
+    def test_port_that_is_used_again_is_served(self) -> None:
+        """A new flow of a caller that was reset has the same ends."""
+        world, host, flow = self.hold()
+        world.advance(1)
+        self.assertEqual(world.read_end(flow), 'reset before')
+        for copies, kinds in ((1, []), (0, [EnvelopeKind.MISS])):
+            world.sent.clear()
+            world.send('10.1.0.1', make_packet(flow, SYN, ack=copies))
+            told = [
+                envelope.kind
+                for _, sender, envelope in world.sent
+                if sender == host and envelope.kind == EnvelopeKind.MISS
+            ]
+            self.assertEqual(told[:1], kinds)
+
+
 class FleetTests(TestCase):
     """What balancers make of it."""
 
