--- a/tests/packets/ejection_world.py
+++ b/tests/packets/ejection_world.py
@@ -88,7 +88,8 @@
         if datagram[26] & SYN:
             if self.treatment(self.seen, flow.route) == 'mute':
                 return []
-            self.open.add(flow.key)
+            if self.treatment(self.seen, flow.route) != 'forget':
+                self.open.add(flow.key)
             return [make_packet(flow, SYN | ACK, back=True, seq=_FIRST)]
         if flow.key not in self.open:
             octets = bytearray(datagram)
@@ -105,6 +106,8 @@
         self.requests[f'{treatment} {flow.route.name}'] += 1
         if treatment == 'hang':
             return []
+        if treatment == 'close':
+            return [make_packet(flow, FIN | ACK, back=True, seq=_FIRST + 1)]
         if treatment == 'reset':
             return [make_packet(flow, RST, back=True, seq=_FIRST + 1)]
         content = ANSWERS[treatment]
--- a/tests/packets/test_ejection.py
+++ b/tests/packets/test_ejection.py
@@ -7,6 +7,7 @@
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap.packets.features import NO_FEATURES
 from keelgap_agent.packets.outcomes import defaults
+from keelgap_agent.packets.outcomes.ejection import Ejection
 from keelgap_agent.packets.state import Flow
 from tests.packets.building import (
     ACK,
@@ -166,6 +167,100 @@
         self.assertEqual(world.list_decided('outcome_closed'), [])
 
 
+class SignTests(TestCase):
+    """Each sign of a failed request counts, and nothing like it."""
+
+    def find_outcome(self, treatment: Treatment) -> str:
+        """Return the last failure before one of two is ejected."""
+        world = World([treatment, serve])
+        for _ in range(60):
+            world.ask()
+            world.advance(0.05)
+        self.assertEqual(world.list_ejected(), list(world.upstreams)[:1])
+        ejected = world.list_decided('upstream_ejected')
+        return str(ejected[0]['outcome'])
+
+    def test_closes_before_any_answer_eject(self) -> None:
+        """Their number tells that no octet was sent."""
+        self.assertEqual(self.find_outcome(fail_all('close')), 'closed')
+
+    def test_flows_that_are_forgotten_eject(self) -> None:
+        """The upstream accepts them, and gives their first data back."""
+        self.assertEqual(self.find_outcome(fail_all('forget')), 'forgotten')
+
+    def test_some_silent_requests_among_good_ones_eject(self) -> None:
+        """Those who came later are answered."""
+        hangs: Treatment = lambda number, route: (  # noqa: E731
+            'hang' if number in {9, 10} else GOOD
+        )
+        world = World([hangs])
+        (host,) = world.upstreams
+        play(world, 1, each_tick=3)
+        self.assertEqual(world.list_ejected(), [host])
+        (ejected,) = world.list_decided('upstream_ejected')
+        self.assertEqual(ejected['outcome'], 'silent')
+        self.assertGreater(world.agents[host].outcomes.answers, 4)
+
+    def test_data_for_another_upstream_prove_nothing(self) -> None:
+        """Their caller chose the one that answered its opening first."""
+        for how in ('hang', 'reset', 'close'):
+            world = World([fail_all(how)])
+            for _ in range(4):
+                flow = world.open()
+                packet = make_packet(flow, ACK, ack=77, data=b'GET')
+                world.send('10.1.0.1', packet)
+            world.advance(2)
+            found = {one.name for one in world.decided}
+            self.assertEqual(world.list_ejected(), [], how)
+            names = {name for name in found if name.startswith('outcome_')}
+            self.assertEqual(names, set(), how)
+
+    def test_openings_right_after_a_start_prove_nothing(self) -> None:
+        """The upstream starts with its agent, and may need longer."""
+        world = World([fail_all('mute'), serve, serve])
+        host = next(iter(world.agents))
+        world.restart_agent(host)
+        world.agents[host].registrar.is_complete = True
+        play(world, 2.5)
+        self.assertEqual(world.list_decided('outcome_unopened'), [])
+        play(world, 1.5)
+        self.assertEqual(world.list_ejected(), [host])
+
+
+class ProbationTests(TestCase):
+    """How many trials there are, and what ends them."""
+
+    def test_few_trials_at_once(self) -> None:
+        """One more for each good answer, and at most four."""
+        ejection = Ejection()
+        ejection.eject(0, is_silent=False)
+        now = defaults.SHORTEST_WAIT_SECONDS
+        taken = []
+        for good in range(defaults.RETURN_ANSWERS):
+            keys = [b'%d %d' % (good, number) for number in range(9)]
+            for key in keys:
+                ejection.take(key, now, is_trial=True)
+            taken.append(len(ejection.trials))
+            first = next(iter(ejection.trials))
+            ejection.note_trial(first, now, is_good=True)
+        self.assertEqual(taken, [1, 2, 3, 4, 4, 4, 4])
+        self.assertTrue(ejection.has_passed())
+
+    def test_seven_good_answers_end_an_ejection(self) -> None:
+        """Fewer come of many upstreams that fail now and then."""
+        world = World([serve, serve, serve])
+        agent = next(iter(world.agents.values()))
+        agent.outcomes.ejection.eject(world.now, is_silent=False)
+        agent.outcomes.has_news = True
+        play(world, 3, each_tick=4)
+        self.assertEqual(world.list_ejected(), [])
+        trials = world.list_decided('upstream_trial')
+        self.assertEqual(
+            [one['good_trials'] for one in trials],
+            [1, 2, 3, 4, 5, 6],
+        )
+
+
 class SlowTests(TestCase):
     """A healthy upstream that takes its time loses nobody."""
 
