--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
@@ -102,8 +102,9 @@
 SHORTEST_WAIT_SECONDS: Final = 1.0
 LONGEST_WAIT_SECONDS: Final = 8.0
 
-#: Longest wait after a trial that was answered badly.  That costs a caller one
-#: try of a request that it may repeat; one without an answer all its time.
+#: Longest wait after a trial that was answered badly, or not opened.  That
+#: costs a caller one try of a request that it may repeat, or a part of a
+#: second; a request without an answer costs it all its time.
 LONGEST_BAD_WAIT_SECONDS: Final = 2.0
 
 #: An upstream that is ejected so soon after its return waits longer.
