--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -132,7 +132,7 @@
     flow.opened_with = None
     if flow.work is None and not is_overtaken:
         return ()
-    state.outcomes.answers += 1
+    state.outcomes.note_answer(flow.work)
     # A request whose flow was closed first counts no more.
     at_work = state.busy + (flow.work is None)
     outcome = _find_outcome(state, datagram, at_work)
@@ -183,6 +183,11 @@
     """Judge what has had no answer for too long."""
     if not state.features.ejection:
         return ()
+    patience = _choose_patience(state)
+    state.outcomes.ejection.trial_seconds = max(
+        defaults.TRIAL_SECONDS,
+        2 * patience,
+    )
     state.outcomes.tick(now)
     return (*_judge_openings(state, now), *_judge_requests(state, now))
 
@@ -193,27 +198,24 @@
     is_young = now - outcomes.began < defaults.GRACE_SECONDS
     if is_young or outcomes.awake_since > limit:
         return ()
+    late = [
+        key
+        for key, event in outcomes.unopened.items()
+        if event.now <= limit and event.envelope.hop < defaults.FORCED_HOP
+    ]
     effects: list[AgentEffect] = []
-    for key, event in tuple(outcomes.unopened.items()):
-        if event.now > limit:
-            break
-        if event.envelope.hop < defaults.FORCED_HOP:
-            effects.extend(_judge_opening(state, key, now))
+    for key in late:
+        if key not in state.held:
+            outcomes.unopened.pop(key, None)
+            continue
+        if not effects:
+            # One short pause makes all of them late.
+            effects.extend(note_outcome(state, key, Outcome.UNOPENED, now))
+        if key in outcomes.unopened:
+            effects.extend(give_back_opening(state, key, now))
     return tuple(effects)
 
 
-def _judge_opening(state: AgentState, key: bytes, now: float) -> Effects:
-    outcomes = state.outcomes
-    if key not in state.held:
-        outcomes.unopened.pop(key, None)
-        return ()
-    judged = note_outcome(state, key, Outcome.UNOPENED, now)
-    if key not in outcomes.unopened:
-        # It was given up with all that waits.
-        return judged
-    return (*judged, *give_back_opening(state, key, now))
-
-
 def _judge_requests(state: AgentState, now: float) -> Effects:
     outcomes = state.outcomes
     limit = now - _choose_patience(state)
@@ -230,13 +232,25 @@
 
 
 def _choose_patience(state: AgentState) -> float:
-    usual = defaults.SILENCE_ANSWERS * state.answer_seconds
-    longest = min(usual, defaults.LONGEST_SILENCE_SECONDS)
-    return max(longest, defaults.SHORTEST_SILENCE_SECONDS)
+    """Return how long a request may go without an answer."""
+    answer = state.answer_seconds
+    longest = max(
+        defaults.LONGEST_SILENCE_SECONDS,
+        defaults.SLOW_ANSWERS * answer,
+    )
+    if not state.outcomes.answers:
+        return longest
+    usual = min(defaults.SILENCE_ANSWERS * answer, longest)
+    return max(usual, defaults.SHORTEST_SILENCE_SECONDS)
 
 
 def _is_overdue(state: AgentState, work: Work) -> bool:
-    """Return whether nobody is answered, or those who came later are."""
+    """Return whether nobody is answered, or those who came later are.
+
+    While the upstream is ejected answers are rare, and prove nothing.
+    """
+    if state.outcomes.ejection.is_out:
+        return True
     answers = state.outcomes.answers - work.answers
     overtaken = 2 * work.before + defaults.OVERTAKEN_ANSWERS
     return not answers or answers >= overtaken
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/score.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/score.py
@@ -12,7 +12,7 @@
 
 from keelgap_agent.packets.outcomes import defaults
 
-__all__ = ('SILENT_OUTCOMES', 'Outcome', 'Score')
+__all__ = ('Outcome', 'Score')
 
 
 @unique
@@ -36,9 +36,6 @@
     UNOPENED = 'unopened'
 
 
-#: Of an upstream that keeps its callers waiting.
-SILENT_OUTCOMES: Final = frozenset((Outcome.SILENT, Outcome.UNOPENED))
-
 _ROUTE_WEIGHTS: Final = MappingProxyType({
     Outcome.REFUSED: defaults.REFUSED_WEIGHT,
     Outcome.ERROR: defaults.ERROR_WEIGHT,
@@ -92,6 +89,10 @@
         score.total = _add(score.total, weight)
         score.in_a_row = 0
 
+    def take_back_silence(self) -> None:
+        """Note that a request which counted as silent was answered."""
+        self._lost = max(self._lost - defaults.LOST_WEIGHT, 0)
+
     def compute(self, now: float) -> float:
         """Return the sum, with each route bounded if others are served."""
         return self._lost + sum(
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/verdicts.py
@@ -5,11 +5,7 @@
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.outcomes import defaults
 from keelgap_agent.packets.outcomes.giving_up import give_up_all
-from keelgap_agent.packets.outcomes.score import (
-    SILENT_OUTCOMES,
-    Outcome,
-    Score,
-)
+from keelgap_agent.packets.outcomes.score import Outcome, Score
 from keelgap_agent.packets.state import AgentState
 
 __all__ = ('note_outcome',)
@@ -48,7 +44,8 @@
     now: float,
 ) -> Effects:
     outcomes = state.outcomes
-    outcomes.ejection.eject(now, is_silent=outcome in SILENT_OUTCOMES)
+    is_silent = _shows_silence(state, outcome)
+    outcomes.ejection.eject(now, is_silent=is_silent)
     outcomes.has_news = True
     fields = {
         **_describe(state, key, outcome, now),
@@ -68,14 +65,39 @@
 ) -> Effects:
     ejection = state.outcomes.ejection
     if key not in ejection.trials:
-        return ()
-    ejection.is_silent = outcome in SILENT_OUTCOMES
+        return _note_silence(state, outcome, now)
+    ejection.is_silent = outcome is Outcome.SILENT
     ejection.note_trial(key, now, is_good=False)
     state.outcomes.has_news = True
     trial = Decided('upstream_trial', _describe(state, key, outcome, now))
     return (trial, *give_up_all(state, now))
 
 
+def _note_silence(
+    state: AgentState,
+    outcome: Outcome,
+    now: float,
+) -> Effects:
+    """Give up what waits, if an upstream ejected before is found silent."""
+    ejection = state.outcomes.ejection
+    if ejection.is_silent or not _shows_silence(state, outcome):
+        return ()
+    ejection.is_silent = True
+    return give_up_all(state, now)
+
+
+def _shows_silence(state: AgentState, outcome: Outcome) -> bool:
+    """Return whether those who wait would wait for nothing.
+
+    It takes as many silent requests as would eject an upstream, and an answer
+    before them: until then nobody knows how long answers take.
+    """
+    if outcome is not Outcome.SILENT or not state.outcomes.answers:
+        return False
+    proof = len(state.outcomes.stuck) * defaults.LOST_WEIGHT
+    return proof >= defaults.EJECTION_SCORE
+
+
 def _note_good(state: AgentState, key: bytes, now: float) -> Effects:
     outcomes = state.outcomes
     ejection = outcomes.ejection
