--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -49,8 +49,14 @@
 
 
 def give_back_opening(state: AgentState, key: bytes, now: float) -> Effects:
-    """Give a flow back whose opening packet the upstream did not answer."""
+    """Give a flow back whose opening packet the upstream did not answer.
+
+    Balancers of earlier releases might reset it, though it is open elsewhere.
+    """
     event = state.outcomes.unopened[key]
+    if not state.balancers.report_formats.get(event.sender):
+        state.outcomes.unopened.pop(key)
+        return ()
     fields = _describe(state, key, now - event.now)
     _forget(state, key, now, is_reset=False)
     miss = state.give_back(event.sender, event.envelope)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -61,6 +61,8 @@
     requested: float
     #: How many seconds earlier that may have been.
     in_doubt: float = 0
+    #: When the caller's latest packet of it was passed on.
+    passed: float = float('-inf')
 
 
 class CallerAges:
@@ -87,6 +89,23 @@
             opening.in_doubt,
         )
 
+    def note_passed(self, key: bytes, now: float) -> None:
+        """Note that a packet of the caller went to an agent just now."""
+        opening = self.openings.get(key)
+        if opening is not None:
+            self.openings[key] = opening._replace(passed=now)
+
+    def may_be_open(self, key: bytes, now: float) -> bool:
+        """Return whether a caller may have opened its flow meanwhile.
+
+        A copy of its opening packet may have gone through another balancer,
+        and have been answered since this one saw the caller ask.
+        """
+        opening = self.openings.get(key)
+        if opening is None:
+            return True
+        return now - opening.passed > defaults.OPENED_SECONDS
+
     def is_given_up(self, key: bytes, now: float) -> bool:
         """Return whether the caller of an opening no longer waits for it."""
         opening = self.openings.get(key)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -40,6 +40,7 @@
     'MAX_UNSPOKEN',
     'MIN_NEAR_AGENTS',
     'NOTICE_AGAIN_SECONDS',
+    'OPENED_SECONDS',
     'PEER_SECONDS',
     'PROBES_AT_ONCE',
     'QUEUE_LOAD',
@@ -260,6 +261,11 @@
 #: for so long.  A wide one that was restarted is back within two seconds.
 YIELD_SECONDS: Final = 2.0
 
+#: An opening packet that comes back later than this is no proof that its flow
+#: is not open: a copy may have been answered elsewhere.  Several round trips
+#: between availability zones, and less than callers wait between copies.
+OPENED_SECONDS: Final = 0.05
+
 #: Ejected upstreams are left out while the others have this share of a
 #: service's slots.  Beyond it most requests would wait too long, and a cause
 #: that most upstreams share is not theirs.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -39,6 +39,17 @@
     now: float,
 ) -> Effects:
     """Offer a new flow to an agent, or a copy of its packet to the same."""
+    effects = _open_flow(state, key, datagram, now)
+    state.ages.note_passed(key, now)
+    return effects
+
+
+def _open_flow(
+    state: PacketState,
+    key: bytes,
+    datagram: bytes,
+    now: float,
+) -> Effects:
     route = state.routes.get(state.format.route_key(datagram))
     if route is None:
         fields = {
@@ -99,7 +110,9 @@
 
     While programs return after an outage the first upstream may be a moment
     away; three tries of a caller are over within half a second.  Where all
-    upstreams are out of service there is nothing to wait for.
+    upstreams are out of service there is nothing to wait for.  An agent may
+    give a flow back late, when a copy of its packet has opened it elsewhere:
+    then nothing is told, and the caller's next copy is offered anew.
     """
     key = opening.key
     may_come = state.is_settling(opening.now) and not _is_all_evacuated(
@@ -110,7 +123,6 @@
         return park(state, key, opening.datagram, opening.now)
     state.searches.pop(key, None)
     state.owners.forget(key)
-    state.ages.note_reset(key, opening.now)
     state.placing.spans.forget(key)
     fields = {
         'flow': state.format.describe_key(key),
@@ -118,6 +130,9 @@
         'asked': opening.hop,
         'revision': state.catalog.revision,
     }
+    if opening.hop and state.ages.may_be_open(key, opening.now):
+        return (Decided('no_taker_late', fields),)
+    state.ages.note_reset(key, opening.now)
     return SendReset(opening.datagram), Decided('reset_no_taker', fields)
 
 
--- /dev/null
+++ b/tests/packets/test_ejection_bounds.py
@@ -0,0 +1,76 @@
+"""What balancers do where few upstreams, or none, are left to serve."""
+
+from unittest import TestCase
+
+from tests.packets.building import ACK, SYN, FlowName, make_packet
+from tests.packets.ejection_world import WRITE, World
+from tests.packets.test_ejection import fail_all, serve
+
+
+def send_open(world: World, balancer: str, flow: FlowName, host: str) -> None:
+    """Send an opening packet through a balancer that prefers a host."""
+    for view in world.balancers[balancer].agents.values():
+        view.picks = 0 if view.host == host else 50
+    copies = len(world.to_caller.get(flow.key, ()))
+    world.send(balancer, make_packet(flow, SYN, ack=copies))
+
+
+class LateMissTests(TestCase):
+    """An opening comes back when its flow may be open elsewhere."""
+
+    def open_twice(self, world: World) -> FlowName:
+        """Open a flow at the second upstream; a copy waits at the first."""
+        mute, good = world.upstreams
+        first, second = sorted(world.balancers)
+        flow = FlowName('100.64.0.7', 60000, WRITE)
+        send_open(world, first, flow, good)
+        send_open(world, second, flow, mute)
+        request = make_packet(flow, ACK, ack=1001, data=b'GET')
+        world.send(first, request)
+        self.assertIn(flow.key, world.upstreams[good].open)
+        world.rows[1] = world.rows[1]._replace(state='draining', revision=2)
+        world.learn(2)
+        return flow
+
+    def test_flow_open_at_a_draining_upstream_is_not_reset(self) -> None:
+        """A mute upstream gave a copy back, and nobody else takes flows."""
+        world = World([fail_all('mute'), serve])
+        flow = self.open_twice(world)
+        world.advance(0.5)
+        self.assertEqual(len(world.list_decided('miss_unopened')), 1)
+        self.assertEqual(world.list_decided('reset_no_taker'), [])
+        self.assertEqual(len(world.list_decided('no_taker_late')), 1)
+        self.assertEqual(world.read_end(flow), 'good')
+
+    def test_next_copy_is_offered_anew(self) -> None:
+        """The caller whose flow opened nowhere is not left alone."""
+        world = World([fail_all('mute'), serve])
+        flow = FlowName('100.64.0.7', 60001, WRITE)
+        mute, good = world.upstreams
+        balancer = sorted(world.balancers)[0]
+        world.rows[1] = world.rows[1]._replace(state='draining', revision=2)
+        world.learn(2)
+        send_open(world, balancer, flow, mute)
+        world.advance(0.5)
+        self.assertNotIn(flow.key, world.to_caller)
+        world.rows[1] = world.rows[1]._replace(state='active', revision=3)
+        world.learn(3)
+        send_open(world, balancer, flow, good)
+        self.assertEqual(world.send_request(flow), 'good')
+
+    def test_prompt_miss_is_still_told(self) -> None:
+        """A flow that nobody takes is reset at once, as ever."""
+        world = World([serve])
+        for agent in world.agents.values():
+            agent.stopping_since = world.now
+        self.assertEqual(world.ask(), 'reset before')
+
+    def test_earlier_balancer_gets_none_back_late(self) -> None:
+        """It would reset a flow that is open elsewhere."""
+        world = World([fail_all('mute'), serve])
+        world.are_balancers_old = True
+        world.advance(1)
+        self.open_twice(world)
+        world.advance(0.5)
+        self.assertEqual(world.list_decided('miss_unopened'), [])
+        self.assertEqual(world.list_decided('reset_no_taker'), [])
--- a/tests/packets/test_ejection_oracle.py
+++ b/tests/packets/test_ejection_oracle.py
@@ -13,6 +13,7 @@
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.outcomes import defaults, giving_up
 from keelgap_agent.packets.state import AgentState
+from keelgap_balancer.packets.ages import CallerAges
 from tests.fuzzing import run_machine
 from tests.packets.building import (
     ACK,
@@ -28,6 +29,7 @@
 
 EXAMPLES = 60
 STEPS = 40
+_TICK = 0.05
 
 
 def forget_given_up(state: Any, key: bytes, now: float, **told: Any) -> None:
@@ -35,6 +37,11 @@
     state.forget(key)
 
 
+def never_open(state: Any, key: bytes, now: float) -> bool:
+    """Stand in for a balancer that takes each opening for a fresh one."""
+    return False
+
+
 def reset_any(state: Any, flow: Any, datagram: bytes) -> bool:
     """Stand in for an agent that resets flows of other upstreams."""
     return True
@@ -88,6 +95,38 @@
         self._offer(others[0], EnvelopeKind.FORWARD, request)
         self.deliver_all()
 
+    @rule(number=st.sampled_from(HOSTS))
+    def return_late(self, number: int) -> None:
+        """A mute upstream's agent gives a copy of an opening back.
+
+        Meanwhile its flow opened elsewhere, and nobody takes new ones.
+        """
+        mute = f'10.0.0.{number}'
+        if self.upstreams[mute].row.service != 'board':
+            return
+        self._tick(defaults.GRACE_SECONDS)
+        self.mute = mute
+        flow = FlowName('100.64.0.10', self.next_port, BOARD)
+        self.next_port += 1
+        self.flows[flow.key] = flow
+        self._prefer(BALANCERS[1], mute, 0, 100)
+        self._send(BALANCERS[1], make_packet(flow, SYN, ack=1))
+        self.deliver_all()
+        self._prefer(BALANCERS[0], mute, 100, 0)
+        self._send(BALANCERS[0], make_packet(flow, SYN))
+        self.deliver_all()
+        self._send(BALANCERS[0], make_packet(flow, ACK, data=b'GET'))
+        self.deliver_all()
+        listed = dict(self.listed)
+        self._drain_but(mute)
+        if self._find_holders(flow.key):
+            self.opened = flow.key
+        self._tick(2 * defaults.OPENING_SILENCE_SECONDS)
+        self.opened = b''
+        self.mute = ''
+        self.listed = listed
+        self._learn_all()
+
     @rule(host=st.sampled_from(BALANCERS))
     def repeat_late(self, host: str) -> None:
         """Packets arrive that callers sent before they were told."""
@@ -97,6 +136,47 @@
                 self._send(host, make_packet(flow, ACK, data=b'GET'))
         self.deliver_all()
 
+    def _tick(self, seconds: float) -> None:
+        """Let time pass in steps that agents do not take for a pause."""
+        for _ in range(round(seconds / _TICK)):
+            self.advance(_TICK)
+            self.deliver_all()
+
+    def _prefer(self, host: str, mute: str, own: int, other: int) -> None:
+        """Let a balancer count so many new flows at agents."""
+        for view in self.balancers[host].agents.values():
+            view.picks = own if view.host == mute else other
+
+    def _drain_but(self, mute: str) -> None:
+        """Let all upstreams drain but those on one host."""
+        self.listed = {
+            name: row
+            if row.address.host == mute
+            else row._replace(state='draining')
+            for name, row in self.listed.items()
+        }
+        self._learn_all()
+
+    def _learn_all(self) -> None:
+        self.revision += 1
+        for host in BALANCERS:
+            self.learn(host)
+        self.deliver_all()
+
+    def _pass(self, host: str, datagram: bytes) -> None:
+        """Let a mute upstream leave opening packets without an answer."""
+        is_mute = host == getattr(self, 'mute', '')
+        if is_mute and datagram[26] & SYN:
+            self._check_passed(self.upstreams[host], datagram)
+            return
+        super()._pass(host, datagram)
+
+    def _check_reset(self, datagram: bytes) -> None:
+        key = FORMAT.caller_key(datagram)
+        opened = getattr(self, 'opened', b'')
+        assert key != opened, 'open elsewhere'  # noqa: S101
+        super()._check_reset(datagram)
+
     def _make_agent(self, service: str, host: str) -> AgentState:
         """Start an agent; no packet lives as long as that takes."""
         told = getattr(self, 'told', set())
@@ -169,6 +249,12 @@
         with patch, self.assertRaises(AssertionError):
             run_machine(EjectingMachine, 400, STEPS, shrink=False)
 
+    def test_a_reset_after_a_late_miss_is_found(self) -> None:
+        """The same, for a copy that came back when its flow was open."""
+        patch = mock.patch.object(CallerAges, 'may_be_open', never_open)
+        with patch, self.assertRaisesRegex(AssertionError, 'open elsewhere'):
+            run_machine(EjectingMachine, 400, STEPS, shrink=False)
+
     def test_a_late_packet_of_a_flow_given_up_is_found(self) -> None:
         """The same, for requests that run after all."""
         patch = mock.patch.object(giving_up, '_forget', forget_given_up)
