--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -13,6 +13,7 @@
     'FAR_ASK_SECONDS',
     'FAR_TRIAL_SECONDS',
     'FLOW_GENERATION_SECONDS',
+    'FORCED_HOP',
     'FORMER_ROUTE_SECONDS',
     'GIVE_UP_SECONDS',
     'GONE_SECONDS',
@@ -271,6 +272,11 @@
 #: that most upstreams share is not theirs.
 SERVING_SHARE: Final = 0.5
 
+#: Agents of ejected upstreams take a new flow that was offered so often.  They
+#: are offered one with this count at once where nobody else is left, for
+#: callers of a service with fewer upstreams would be refused by all.
+FORCED_HOP: Final = 3
+
 #: Pause between flows that this balancer sends to one ejected upstream: its
 #: agent takes few at once, and a flow given back costs its caller a way.
 TRIAL_PAUSE_SECONDS: Final = 0.1
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 from keelgap.catalog.models import PacketRoute
+from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.ages import make_wait
 from keelgap_balancer.packets.effects import (
     Decided,
@@ -82,15 +83,16 @@
     excluded: tuple[str, ...],
 ) -> Effects:
     key = opening.key
-    taker = _choose_trial(state, opening) or choose_taker(
-        state,
-        opening.route,
-        key,
-        opening.now,
-        excluded,
-    )
+    taker = _choose_trial(state, opening)
     if taker is None:
-        return _refuse(state, opening)
+        taker = choose_taker(state, opening.route, key, opening.now, excluded)
+        taker = taker or _choose_again(state, opening)
+        if taker is None:
+            return _refuse(state, opening)
+        if taker in state.ejections.out:
+            # Nobody better is there, which its agent does not know.
+            hop = max(opening.hop, defaults.FORCED_HOP)
+            opening = opening._replace(hop=hop)
     state.owners.put(key, taker)
     taker.picks += 1
     told = note_placement(state, taker, opening.route, key, opening.now)
@@ -105,6 +107,23 @@
     return choose_trial(state, opening.route, service, opening.now)
 
 
+def _choose_again(state: PacketState, opening: Opening) -> AgentView | None:
+    """Return an agent that gave a flow back only as it is ejected."""
+    search = state.searches.get(opening.key)
+    if search is None or not search.ejected:
+        return None
+    taker = choose_taker(
+        state,
+        opening.route,
+        opening.key,
+        opening.now,
+        search.missed - search.ejected,
+    )
+    if taker is not None:
+        search.ejected.discard(taker.host)
+    return taker
+
+
 def _refuse(state: PacketState, opening: Opening) -> Effects:
     """Reset a new flow that nobody takes; it has not run.
 
@@ -174,4 +193,6 @@
     """Offer a flow that its first choice did not take to the next."""
     search = state.searches.setdefault(opening.key, Search(opening.now))
     search.missed.add(view.host)
+    if opening.hop <= defaults.FORCED_HOP and view in state.ejections.out:
+        search.ejected.add(view.host)
     return _place(state, opening, tuple(search.missed))
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -189,6 +189,7 @@
     __slots__ = (
         'asked',
         'denied',
+        'ejected',
         'heard',
         'is_parked',
         'kept_since',
@@ -231,6 +232,8 @@
         self.asked: list[str] = []
         #: Hosts that said no.
         self.missed: set[str] = set()
+        #: Hosts among them that may take a new flow if nobody else does.
+        self.ejected: set[str] = set()
         #: Host asked last, that has not answered.
         self.pending: str | None = None
         self.pending_since = now
--- a/tests/packets/test_ejection_bounds.py
+++ b/tests/packets/test_ejection_bounds.py
@@ -1,10 +1,13 @@
 """What balancers do where few upstreams, or none, are left to serve."""
 
+from collections import Counter
 from unittest import TestCase
 
+from keelgap_agent.packets.outcomes import defaults as agent_defaults
+from keelgap_balancer.packets import defaults
 from tests.packets.building import ACK, SYN, FlowName, make_packet
 from tests.packets.ejection_world import WRITE, World
-from tests.packets.test_ejection import fail_all, serve
+from tests.packets.test_ejection import fail_all, fail_some, many, serve
 
 
 def send_open(world: World, balancer: str, flow: FlowName, host: str) -> None:
@@ -74,3 +77,64 @@
         world.advance(0.5)
         self.assertEqual(world.list_decided('miss_unopened'), [])
         self.assertEqual(world.list_decided('reset_no_taker'), [])
+
+
+def eject(world: World, hosts: list[str]) -> None:
+    """Let agents find that their upstreams fail, and tell all balancers."""
+    for host in hosts:
+        outcomes = world.agents[host].outcomes
+        outcomes.ejection.eject(world.now, is_silent=False)
+        outcomes.has_news = True
+    world.advance(0.05)
+
+
+def play(world: World, seconds: float) -> Counter[str]:
+    """Send 120 requests a second; return how they ended."""
+    ends: Counter[str] = Counter()
+    for _ in range(round(seconds / 0.05)):
+        ends.update(world.ask() for _ in range(6))
+        world.advance(0.05)
+    return ends
+
+
+class NobodyElseTests(TestCase):
+    """All upstreams of a service fail, and none can be left out."""
+
+    def test_few_upstreams_get_what_nobody_else_takes(self) -> None:
+        """Each errs on six of ten: four in ten are served, none refused."""
+        for count in (1, 2, 3, 4):
+            world = World(many((fail_some('error', 6), count)))
+            ends = play(world, 6)
+            self.assertTrue(world.list_decided('upstream_ejected'), count)
+            self.assertEqual(set(ends), {'good', 'error'}, count)
+            self.assertGreater(ends['good'], 250, count)
+
+    def test_few_serve_at_once_after_an_outage_behind_them(self) -> None:
+        """A store of theirs was away for two seconds."""
+        for count in (1, 2, 3):
+            world = World(many((fail_all('error'), count)))
+            play(world, 2)
+            for upstream in world.upstreams.values():
+                upstream.treatment = serve
+            self.assertEqual(play(world, 2), {'good': 240}, count)
+
+    def test_last_one_is_asked_again_when_the_others_leave(self) -> None:
+        """The only one that serves drains, which no balancer knows yet."""
+        world = World([serve, serve, serve])
+        hosts = list(world.agents)
+        eject(world, hosts[:1])
+        for host in hosts[1:]:
+            world.agents[host].stopping_since = world.now
+        self.assertEqual(world.ask(), 'good')
+
+    def test_flow_that_nobody_can_take_is_refused(self) -> None:
+        """Offers end, though an ejected upstream gives them back again."""
+        world = World([serve, serve])
+        eject(world, list(world.agents))
+        for agent in world.agents.values():
+            agent.stopping_since = world.now
+        self.assertEqual(world.ask(), 'reset before')
+
+    def test_both_programs_agree_on_forced_offers(self) -> None:
+        """An ejected upstream is made to take what the balancer says."""
+        self.assertEqual(defaults.FORCED_HOP, agent_defaults.FORCED_HOP)
