--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -52,9 +52,13 @@
 
 
 def give_back_opening(state: AgentState, key: bytes, now: float) -> Effects:
-    """Give a flow back whose opening packet the upstream did not answer."""
+    """Give a flow back whose opening packet the upstream did not answer.
+
+    Balancers of earlier releases might reset it, though it is open elsewhere.
+    """
     event = state.outcomes.unopened.pop(key)
-    if not state.registrar.is_complete:
+    is_understood = bool(state.balancers.report_formats.get(event.sender))
+    if not state.registrar.is_complete or not is_understood:
         return ()
     fields = _describe(state, key, now - event.now)
     # Data show that the caller chose another upstream, so only they matter.
