--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
@@ -17,8 +17,8 @@
 OVERDUE_ANSWERS: Final = 6
 OVERDUE_SECONDS: Final = 0.3
 
-#: Whoever waits longer than this may go before a higher priority; most aims
-#: are shorter, so what it still gets is an answer that is late, not none.
+#: Whoever waits longer than this may go before all others; most aims are
+#: shorter, so what it still gets is an answer that is late, not none.
 STARVED_SECONDS: Final = 0.5
 
 #: Of the requests that are passed on while such a one waits, each of this
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
@@ -1,6 +1,6 @@
 """Whether the upstream has room, and which request is next."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 from keelgap_agent.packets import defaults as agent_defaults
@@ -12,6 +12,10 @@
 
 #: Place of callers from an outage who are about to leave, as ``Held`` ranks.
 _RESCUED: Final = 2
+#: Part of the time to its aim that an answer is taken to need at most.  A
+#: caller whose aim is shorter than the mean answer of all routes may still
+#: be in time; in the other half it may go first.
+_MOST_OF_AIM: Final = 0.5
 
 
 def has_room(state: AgentState, now: float) -> bool:
@@ -31,39 +35,51 @@
 ) -> bytes:
     """Return which flow's request is passed on next: the first in rank.
 
-    So that no priority waits without end, now and then it is the one that
-    waits longest of the lower ones, if its caller stays until the answer.
+    So that nobody waits without end, late or of a low priority, now and then
+    it is one that waits too long, if its caller stays until the answer.
     """
     answer = state.answer_seconds
     held = state.held
     if not state.features.scheduling:
         return max(ready, key=lambda key: held[key].rank(now, answer))
     best = max(ready, key=lambda key: _rank(held[key], now, answer))
-    is_starved = _make_test(held[best].priority, now, answer)
-    starved = [key for key in ready if is_starved(held[key])]
-    if not starved:
-        return best
-    state.work.passed_over += 1
-    if state.work.passed_over < defaults.PASSED_OVER:
-        return best
-    state.work.passed_over = 0
-    return min(starved, key=lambda key: held[key].came)
+    chosen = _find_starved(state, ready, now) or best
+    state.work.served_at[held[chosen].priority] = now
+    return chosen
 
 
-def _make_test(
-    priority: int,
+def _find_starved(
+    state: AgentState,
+    ready: Sequence[bytes],
     now: float,
-    answer: float,
-) -> Callable[[Held], bool]:
-    """Return what tells who waits too long for those of a priority."""
-    latest = now - defaults.STARVED_SECONDS
-    start = now + answer
+) -> bytes | None:
+    """Return who goes out of turn, if one waits too long and it is time.
 
-    def is_starved(held: Held) -> bool:
-        is_lower = held.priority > priority
-        return is_lower and held.came < latest and start < held.leaves
-
-    return is_starved
+    Of the priority that was served longest ago: else the late requests of
+    one that fills the upstream would take all such turns of the others.
+    """
+    latest = now - defaults.STARVED_SECONDS
+    start = now + state.answer_seconds
+    held = state.held
+    starved = [
+        key
+        for key in ready
+        if held[key].came < latest and start < held[key].leaves
+    ]
+    if not starved:
+        return None
+    state.work.passed_over += 1
+    if state.work.passed_over < defaults.PASSED_OVER:
+        return None
+    state.work.passed_over = 0
+    served_at = state.work.served_at
+    return min(
+        starved,
+        key=lambda key: (
+            served_at.get(held[key].priority, float('-inf')),
+            held[key].came,
+        ),
+    )
 
 
 def observe_wait(
@@ -98,6 +114,9 @@
         if rank[0] == _RESCUED:
             return rank
     start = now + answer
-    if start < held.in_time:
+    # The mean is of all routes: long requests of others make nobody late in
+    # the first part of its own time.
+    own_answer = min(answer, _MOST_OF_AIM * (held.in_time - held.came))
+    if now + own_answer < held.in_time:
         return 1, -held.priority, -held.in_time
     return -int(start >= held.leaves), -held.priority, -held.leaves
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/work.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/work.py
@@ -16,13 +16,15 @@
 class Workload:
     """The flows with a request at work, the longest first."""
 
-    __slots__ = ('flows', 'passed_over')
+    __slots__ = ('flows', 'passed_over', 'served_at')
 
     def __init__(self) -> None:
         """Start without work."""
         self.flows: dict[WorkingFlow, None] = {}
-        #: Requests passed on since the one that waited longest was.
+        #: Requests passed on, while some waited too long, since one of these.
         self.passed_over = 0
+        #: When a request that waited was passed on last, by priority.
+        self.served_at: dict[int, float] = {}
 
     def count_current(self, now: float, answer: float) -> int:
         """Return how many are at work and not overdue.
--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -392,6 +392,54 @@
         self.assertEqual(self.state.busy, ROOM - 1)
 
 
+class BoundTests(SchedulingTestCase):
+    """Nobody waits without end, whatever else arrives."""
+
+    def setUp(self) -> None:
+        """Note which flows have a request at work."""
+        super().setUp()
+        self.at_work = list(range(ROOM))
+        self.last_port = 1000
+
+    def play(self, seconds: float, awaited: tuple[int, int]) -> float | None:
+        """Let priority 2 arrive faster than it is served.
+
+        Return after how many seconds the awaited packet was passed on.
+        """
+        pause = 0.04
+        began = self.now
+        while self.now < began + seconds:
+            self.now += pause
+            for _ in range(2):
+                self.last_port += 1
+                wait = CallerWait(0, 9000, 9000)
+                port = self.last_port
+                self.ask(port, priority=2, left_ms=9000, wait=wait)
+            answered = self.at_work.pop(0)
+            passed = self.list_passed(self.serve(answered, data=b'a'))
+            if awaited in passed:
+                return self.now - began
+            self.at_work.extend(port for port, _ in passed)
+        return None
+
+    def test_late_request_of_the_best_route_is_served(self) -> None:
+        """More of priority 2 than can be done, all of it in time."""
+        self.speak(URGENT, 2)
+        self.now += 0.25
+        waited = self.play(2, (URGENT, 2))
+        self.assertIsNotNone(waited)
+
+    def test_long_requests_of_others_make_nobody_late(self) -> None:
+        """The mean of all answers is above the aim of a better route."""
+        self.state.answer_seconds = 0.3
+        self.play(0.4, (0, 0))
+        self.speak(URGENT, 2)
+        waited = self.play(1.5, (URGENT, 2))
+        self.assertIsNotNone(waited)
+        assert waited is not None
+        self.assertLess(waited, 0.2)
+
+
 class RoomTests(SchedulingTestCase):
     """Requests that are never answered."""
 
