--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 __all__ = (
+    'FULL_PACKET_OCTETS',
     'OVERDUE_ANSWERS',
     'OVERDUE_SECONDS',
     'PASSED_OVER',
@@ -10,6 +11,10 @@
     'STARVED_SECONDS',
 )
 
+#: Octets of data in a full packet of a caller.  After one that full, the next
+#: may be the rest of the same request.
+FULL_PACKET_OCTETS: Final = 1200
+
 #: A request at work for so many mean times to an answer, and at least so
 #: many seconds, no longer counts against the room of its upstream: it may
 #: never be answered, and its place stands empty then.  If it is only long,
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
@@ -1,7 +1,8 @@
 """Later requests of open flows that wait until the upstream has room.
 
 Only a packet that surely begins a request is held: its flow is known, its
-earlier request was answered, and its octets were not seen before.  All else
+earlier request was answered, the packet before was not full, and its octets
+were not seen before.  All else
 is passed on at once, so that what the upstream has begun goes on.  What is
 held is never lost: a caller that waits repeats its packets.
 """
@@ -15,6 +16,7 @@
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.scheduling.order import has_room
+from keelgap_agent.packets.scheduling.rests import note_length
 from keelgap_agent.packets.scheduling.terms import read_packet
 from keelgap_agent.packets.state import AgentState, Flow, Held
 
@@ -41,13 +43,18 @@
         return False
     if flow.terms is None:
         flow.terms = read_packet(event.envelope)
-    is_idle = flow.busy_since is None and not flow.ended
-    if flow.terms is None or not is_idle or not _may_hold(state, flow):
+    datagram = event.envelope.content
+    if flow.terms is None or not _is_new(state, flow, datagram):
         return False
-    if not _is_new(state, flow, event.envelope.content):
+    is_rest = flow.terms.goes_on or flow.busy_since is not None
+    if is_rest or flow.ended or not _may_hold(state, flow):
+        note_length(state, flow, datagram)
         return False
     waiting = any(held.packets for held in state.held.values())
-    return waiting or not has_room(state, event.now)
+    if waiting or not has_room(state, event.now):
+        return True
+    note_length(state, flow, datagram)
+    return False
 
 
 def hold_later(
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
@@ -6,6 +6,7 @@
 from keelgap_agent.packets import defaults as agent_defaults
 from keelgap_agent.packets.effects import AgentEffect, Observed
 from keelgap_agent.packets.scheduling import defaults
+from keelgap_agent.packets.scheduling.rests import note_released
 from keelgap_agent.packets.state import AgentState, Held
 
 __all__ = ('choose_next', 'has_room', 'observe_wait')
@@ -87,10 +88,11 @@
     held: Held,
     now: float,
 ) -> tuple[AgentEffect, ...]:
-    """Count how long a request waited that is passed on."""
+    """Count how long a request waited that is passed on, and note its end."""
     waited = Observed('wait_seconds', now - held.came)
     if not state.features.scheduling:
         return (waited,)
+    note_released(state, held)
     counted = min(held.priority, defaults.PRIORITIES_COUNTED)
     by_priority = Observed(f'wait_seconds_priority_{counted}', now - held.came)
     return waited, by_priority
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/rests.py
@@ -0,0 +1,31 @@
+"""Whether the next data of a flow may be the rest of a request.
+
+Data of the upstream does not show that it has all of a request: it may be
+an interim answer, an early refusal or a copy of the answer before.  Half a
+request would keep its slot at the upstream while the rest waits here.
+"""
+
+from keelgap_agent.packets.scheduling import defaults
+from keelgap_agent.packets.state import AgentState, Flow, Held
+
+__all__ = ('note_length', 'note_released')
+
+
+def note_length(state: AgentState, flow: Flow, datagram: bytes) -> None:
+    """Note whether the latest data of a caller filled its packet."""
+    terms = flow.terms
+    if terms is None:
+        return
+    length = state.format.data_length(datagram)
+    goes_on = length >= defaults.FULL_PACKET_OCTETS
+    if goes_on != terms.goes_on:
+        flow.terms = terms._replace(goes_on=goes_on)
+
+
+def note_released(state: AgentState, held: Held) -> None:
+    """Note the same of a request that waited, now that it is passed on."""
+    for event in held.packets.values():
+        datagram = event.envelope.content
+        flow = state.flows[state.format.caller_key(datagram)]
+        if state.format.sequence(datagram) == flow.caller_sequence:
+            note_length(state, flow, datagram)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
@@ -1,4 +1,4 @@
-"""What is known of the requests of a flow before they come."""
+"""What is known of the next packets of a flow before they come."""
 
 from typing import Final, NamedTuple
 
@@ -18,6 +18,8 @@
     aim: float
     #: Seconds after which a caller no longer waits; infinite if not known.
     patience: float
+    #: Whether the caller's last packet was full, so that its request may go on.
+    goes_on: bool = False
 
 
 def read_opening(envelope: Envelope) -> RouteTerms:
--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -243,6 +243,40 @@
         passed = self.speak(0, 100)
         self.assertEqual(self.list_passed(passed), [(0, 100)])
 
+    def test_rest_of_an_upload_is_not_held(self) -> None:
+        """An interim answer comes in between, or an early refusal."""
+        for seq, answer in ((1201, b'HTTP/1.1 100'), (5001, b'HTTP/1.1 503')):
+            self.serve(0, data=b'a')
+            self.speak(STREAMING, seq, data=bytes(1200))
+            self.serve(STREAMING, data=answer)
+            self.speak(0, seq)
+            passed = self.speak(STREAMING, seq + 1200, data=b'rest')
+            self.assertEqual(
+                self.list_passed(passed), [(STREAMING, seq + 1200)]
+            )
+            self.serve(STREAMING, data=b'a')
+            self.speak(0, seq + 1)
+
+    def test_rest_of_an_upload_that_waited_is_not_held(self) -> None:
+        """Its first packets waited for room, in any order."""
+        for seq in (1201, 1):
+            self.speak(STREAMING, seq + 1, data=bytes(1200))
+        self.assertEqual(len(self.state.held), 1)
+        self.serve(0, data=b'a')
+        self.serve(STREAMING, data=b'HTTP/1.1 100')
+        self.speak(0, 100)
+        passed = self.speak(STREAMING, 2402, data=b'rest')
+        self.assertEqual(self.list_passed(passed), [(STREAMING, 2402)])
+
+    def test_request_after_an_upload_waits(self) -> None:
+        """Its last packet was not full."""
+        self.serve(0, data=b'a')
+        for seq, length in ((1201, 1200), (2401, 80)):
+            self.speak(STREAMING, seq, data=bytes(length))
+        self.serve(STREAMING, data=b'a')
+        self.speak(0, 100)
+        self.assertEqual(self.speak(STREAMING, 2481), [])
+
     def test_pipelined_request_waits_with_the_one_before(self) -> None:
         """Both go on together, in order."""
         self.speak(STREAMING, 9)
