--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
@@ -18,7 +18,10 @@
 #: A request at work for so many mean times to an answer, and at least so
 #: many seconds, no longer counts against the room of its upstream: it may
 #: never be answered, and its place stands empty then.  If it is only long,
-#: one more request waits at the upstream rather than here.
+#: one more request waits at the upstream rather than here.  At most as
+#: many as there are slots are left out of the count, and none while the
+#: upstream has answered nothing for as long: what is passed on to one that
+#: hangs is lost, and what waits here may still be answered.
 OVERDUE_ANSWERS: Final = 6
 OVERDUE_SECONDS: Final = 0.3
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
@@ -21,11 +21,12 @@
 
 def has_room(state: AgentState, now: float) -> bool:
     """Return whether the upstream can start on another request."""
+    state.work.note_answers(now, state.answer_seconds)
     if state.has_room:
         return True
     if not state.features.scheduling:
         return False
-    current = state.work.count_current(now, state.answer_seconds)
+    current = state.work.count_current(now, state.slots)
     return current < state.slots + agent_defaults.EXTRA_SLOTS
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/work.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/work.py
@@ -16,7 +16,13 @@
 class Workload:
     """The flows with a request at work, the longest first."""
 
-    __slots__ = ('flows', 'passed_over', 'served_at')
+    __slots__ = (
+        'answer',
+        'answered_at',
+        'flows',
+        'passed_over',
+        'served_at',
+    )
 
     def __init__(self) -> None:
         """Start without work."""
@@ -25,20 +31,33 @@
         self.passed_over = 0
         #: When a request that waited was passed on last, by priority.
         self.served_at: dict[int, float] = {}
+        #: The mean time to an answer, and when it was seen to change.
+        self.answer: float = 0
+        self.answered_at = float('-inf')
 
-    def count_current(self, now: float, answer: float) -> int:
+    def note_answers(self, now: float, answer: float) -> None:
+        """Note the mean time to an answer, which changes with each."""
+        if answer != self.answer:
+            self.answer = answer
+            self.answered_at = now
+
+    def count_current(self, now: float, slots: int) -> int:
         """Return how many are at work and not overdue.
 
-        An answer takes ``answer`` seconds.
+        An upstream that answers nothing gets nothing more for that, and no
+        upstream more than as many again as it has slots.
         """
         patience = max(
             defaults.OVERDUE_SECONDS,
-            defaults.OVERDUE_ANSWERS * answer,
+            defaults.OVERDUE_ANSWERS * self.answer,
         )
+        at_work = len(self.flows)
+        if now - self.answered_at >= patience:
+            return at_work
         overdue = 0
         for flow in self.flows:
             since = flow.busy_since
-            if since is None or now - since < patience:
+            if since is None or now - since < patience or overdue >= slots:
                 break
             overdue += 1
-        return len(self.flows) - overdue
+        return at_work - overdue
