--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -42,7 +42,6 @@
 )
 from keelgap_agent.packets.outcomes.judging import (
     judge_answer,
-    judge_bounce,
     judge_silence,
     note_upstream_packet,
     note_work,
@@ -63,7 +62,7 @@
     begins_to_wait,
     end_waiting,
     hold_later,
-    pass_waiting,
+    settle_bounce,
     take_more,
 )
 from keelgap_agent.packets.state import AgentState, Flow
@@ -280,16 +279,11 @@
     key = state.format.caller_key(packet)
     if key in state.outcomes.given_up:
         return drop_given_up()
-    flow = state.flows.get(key)
-    lost: Effects = ()
-    if flow is not None and flow.asked_by is None:
-        lost = tell_unanswered(state, key, flow, 'bounced')
-        lost = (*lost, *judge_bounce(state, key, flow, packet, now))
-    # The upstream gives back what waits on this flow, too.
-    lost = (*lost, *pass_waiting(state, key, now))
+    lost = settle_bounce(state, key, packet, now)
     state.forget(key)
     if host is None:
-        return (Decided('drop_bounce_unknown_mark'),)
+        dropped = Decided('drop_bounce_unknown_mark')
+        return (dropped, *lost, *release_held(state, now))
     bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
     if kind in OPENING_KINDS:
         fields = {
@@ -300,7 +294,7 @@
         }
         bounced = bounced._replace(fields=fields)
     miss = state.send(host, EnvelopeKind.MISS, packet, hop)
-    return (miss, bounced, *lost)
+    return (miss, bounced, *lost, *release_held(state, now))
 
 
 def _handle_timer(state: AgentState, event: TimerFired) -> Effects:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
@@ -30,9 +30,9 @@
 STARVED_SECONDS: Final = 0.5
 
 #: Of the requests that are passed on while such a one waits, each of this
-#: number is the one that waits longest.  3 % of the upstream are what higher
-#: priorities give for that lower ones are served at all; an eighth made
-#: twice as many late when the load came near to what can be done.
+#: number is one of these.  3 % of the upstream are what others give for that
+#: late requests and low priorities are served at all; an eighth made twice as
+#: many late when the load came near to what can be done.
 PASSED_OVER: Final = 32
 
 #: Waits are counted by priority up to this one; lower ones count together.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
@@ -15,6 +15,8 @@
 from keelgap_agent.packets.admission import release_held, release_request
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.outcomes.judging import judge_bounce
+from keelgap_agent.packets.request_log import tell_unanswered
 from keelgap_agent.packets.scheduling.order import has_room
 from keelgap_agent.packets.scheduling.rests import note_length
 from keelgap_agent.packets.scheduling.terms import read_packet
@@ -25,6 +27,7 @@
     'end_waiting',
     'hold_later',
     'pass_waiting',
+    'settle_bounce',
     'take_more',
 )
 
@@ -128,6 +131,24 @@
     return release_request(state, key, now)
 
 
+def settle_bounce(
+    state: AgentState,
+    key: bytes,
+    packet: bytes,
+    now: float,
+) -> Effects:
+    """Pass on what waits on a flow that the upstream gave back.
+
+    The upstream gives that back, too; so the log tells its end at once.
+    """
+    flow = state.flows.get(key)
+    if flow is None or flow.asked_by is not None:
+        return pass_waiting(state, key, now)
+    judged = judge_bounce(state, key, flow, packet, now)
+    passed = pass_waiting(state, key, now)
+    return (*judged, *passed, *tell_unanswered(state, key, flow, 'bounced'))
+
+
 def _is_later_held(state: AgentState, key: bytes) -> bool:
     held = state.held.get(key)
     return held is not None and held.is_later
--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -359,6 +359,39 @@
         )
         self.assertEqual(self.state.held, {})
 
+    def bounce(self, passed: SendToUpstream) -> list[Any]:
+        """Let the upstream give a packet back."""
+        bounced = bytearray(passed.datagram)
+        bounced[26] |= BOUNCED
+        return self.take(UpstreamPacket(self.now, bytes(bounced)))
+
+    def test_given_back_requests_make_room(self) -> None:
+        """Whoever waits need not wait for the next timer."""
+        (passed,) = self.speak(0, 9)
+        effects = self.bounce(passed)
+        self.assertEqual(self.list_passed(effects), [(STREAMING, 2)])
+        self.assertEqual(self.state.busy, ROOM)
+
+    def test_unknown_marks_make_room_too(self) -> None:
+        """A process that restarted has no number for the balancer."""
+        (passed,) = self.speak(0, 9)
+        self.state.balancers.hosts.clear()
+        effects = self.bounce(passed)
+        self.assertEqual(self.list_passed(effects), [(STREAMING, 2)])
+
+    def test_logs_tell_the_end_of_what_is_given_back(self) -> None:
+        """Each request that began has one."""
+        data = b'GET / HTTP/1.1\r\nX-Keelgap-Request-Id: r1\r\n\r\n'
+        self.speak(URGENT, 2, data=data)
+        self.decided.clear()
+        (passed,) = self.speak(URGENT, 2, data=b'')
+        self.bounce(passed)
+        names = self.list_names()
+        self.assertLess(
+            names.index('request_began'),
+            names.index('request_unanswered'),
+        )
+
     def test_caller_gone_without_a_word_is_not_served(self) -> None:
         """Its flow stays: if it is there after all, it repeats."""
         self.now += 2.01
