--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
@@ -44,8 +44,7 @@
     """Return whether a packet begins a request that must wait."""
     if not state.features.scheduling:
         return False
-    if flow.terms is None:
-        flow.terms = read_packet(event.envelope)
+    flow.terms = read_packet(event.envelope, flow.terms)
     datagram = event.envelope.content
     if flow.terms is None or not _is_new(state, flow, datagram):
         return False
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from keelgap.packets.envelopes import Envelope
+from keelgap.packets.envelopes import OPENING_KINDS, Envelope
 
 __all__ = ('RouteTerms', 'read_opening', 'read_packet')
 
@@ -35,15 +35,21 @@
     )
 
 
-def read_packet(envelope: Envelope) -> RouteTerms | None:
-    """Return what the envelope of a later packet says of its route.
+def read_packet(
+    envelope: Envelope,
+    known: RouteTerms | None,
+) -> RouteTerms | None:
+    """Return what is known of a route after a later packet.
 
-    A balancer that does not know, or of an earlier release, says nothing.
+    Its priority and aim are those of now, for the next request.  A balancer
+    that does not know, or of an earlier release, says nothing; and what an
+    opening packet that comes again says is what is left to its caller.
     """
-    if envelope.left_ms <= 0:
-        return None
-    return RouteTerms(
-        envelope.priority,
-        envelope.left_ms / _MILLISECONDS,
-        float('inf'),
-    )
+    if envelope.kind in OPENING_KINDS or envelope.left_ms <= 0:
+        return known
+    aim = envelope.left_ms / _MILLISECONDS
+    if known is None:
+        return RouteTerms(envelope.priority, aim, float('inf'))
+    if (known.priority, known.aim) == (envelope.priority, aim):
+        return known
+    return known._replace(priority=envelope.priority, aim=aim)
--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -184,6 +184,44 @@
         self.assertEqual(self.list_passed(passed), [(STREAMING, 2)])
 
 
+class TermsTests(SchedulingTestCase):
+    """The route of an open flow changes."""
+
+    def hold(self, **fields: Any) -> tuple[int, float, float]:
+        """Hold a request; return its priority, and seconds of aim and all."""
+        self.assertEqual(self.speak(STREAMING, 2, **fields), [])
+        held = self.state.held[FLOW._replace(port=STREAMING).key]
+        return (
+            held.priority,
+            round(held.in_time - self.now, 6),
+            round(held.leaves - self.now, 6),
+        )
+
+    def test_later_requests_have_the_terms_of_now(self) -> None:
+        """Operators change priority and aim; callers wait as before."""
+        self.assertEqual(self.hold(priority=1, left_ms=350), (1, 0.35, 2.0))
+
+    def test_balancers_that_say_nothing_change_nothing(self) -> None:
+        """They are of an earlier release."""
+        self.assertEqual(self.hold(), (2, 0.2, 2.0))
+
+    def test_opening_packets_that_come_again_change_nothing(self) -> None:
+        """They tell what is left to their caller, not the aim."""
+        packet = make_packet(FLOW._replace(port=STREAMING), SYN)
+        for kind in (EnvelopeKind.OPEN, EnvelopeKind.TRY):
+            self.hear(kind, packet, priority=0, left_ms=7)
+        self.assertEqual(self.hold(), (2, 0.2, 2.0))
+
+    def test_opening_packets_tell_no_terms_of_a_flow_without(self) -> None:
+        """A process younger than the flow hears a late copy of one."""
+        key = FLOW._replace(port=STREAMING).key
+        self.state.flows[key].terms = None
+        packet = make_packet(FLOW._replace(port=STREAMING), SYN)
+        for kind in (EnvelopeKind.OPEN, EnvelopeKind.TRY):
+            self.hear(kind, packet, priority=0, left_ms=7)
+        self.assertIsNone(self.state.flows[key].terms)
+
+
 class PacketOrderTests(SchedulingTestCase):
     """Packets of a flow whose request waits, in any order."""
 
