--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -3,6 +3,7 @@
 Each test names the pattern of load or the failure that it answers.
 """
 
+from random import Random
 from typing import Any, Final
 from unittest import TestCase, mock
 
@@ -700,6 +701,10 @@
                 )
 
 
+def _make_even(_random: Random, rate: float) -> float:
+    return 1 / rate
+
+
 class NobodyWaitsTests(TestCase):
     """On, and nothing to order."""
 
@@ -712,6 +717,16 @@
         self.assertGreater(len(traces[0]), 100)
         self.assertEqual(*traces)
 
+    def test_even_arrivals_at_half_load_are_those_of_before(self) -> None:
+        """Nobody waits, since requests come in even time."""
+        with mock.patch.object(Random, 'expovariate', _make_even):
+            traces = [
+                _play(0.5, scheduling=scheduling).trace
+                for scheduling in (False, True)
+            ]
+        self.assertGreater(len(traces[0]), 400)
+        self.assertEqual(*traces)
+
 
 class ForwardTests(BalancerTestCase):
     """What balancers say of later packets, for agents younger than flows."""
