--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
@@ -1,7 +1,8 @@
 """Later requests of open flows that wait until the upstream has room.
 
 Only a packet that surely begins a request is held: its flow is known, its
-earlier request was answered, and its octets were not seen before.  All else
+earlier request was answered, the packet before was not full, and its octets
+were not seen before.  All else
 is passed on at once, so that what the upstream has begun goes on.  What is
 held is never lost: a caller that waits repeats its packets.
 """
@@ -14,7 +15,10 @@
 from keelgap_agent.packets.admission import release_held, release_request
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.outcomes.judging import judge_bounce
+from keelgap_agent.packets.request_log import tell_unanswered
 from keelgap_agent.packets.scheduling.order import has_room
+from keelgap_agent.packets.scheduling.rests import note_length
 from keelgap_agent.packets.scheduling.terms import read_packet
 from keelgap_agent.packets.state import AgentState, Flow, Held
 
@@ -23,6 +27,7 @@
     'end_waiting',
     'hold_later',
     'pass_waiting',
+    'settle_bounce',
     'take_more',
 )
 
@@ -39,15 +44,19 @@
     """Return whether a packet begins a request that must wait."""
     if not state.features.scheduling:
         return False
-    if flow.terms is None:
-        flow.terms = read_packet(event.envelope)
-    is_idle = flow.busy_since is None and not flow.ended
-    if flow.terms is None or not is_idle or not _may_hold(state, flow):
+    flow.terms = read_packet(event.envelope, flow.terms)
+    datagram = event.envelope.content
+    if flow.terms is None or not _is_new(state, flow, datagram):
         return False
-    if not _is_new(state, flow, event.envelope.content):
+    is_rest = flow.terms.goes_on or flow.busy_since is not None
+    if is_rest or flow.ended or not _may_hold(state, flow):
+        note_length(state, flow, datagram)
         return False
     waiting = any(held.packets for held in state.held.values())
-    return waiting or not has_room(state, event.now)
+    if waiting or not has_room(state, event.now):
+        return True
+    note_length(state, flow, datagram)
+    return False
 
 
 def hold_later(
@@ -121,6 +130,24 @@
     return release_request(state, key, now)
 
 
+def settle_bounce(
+    state: AgentState,
+    key: bytes,
+    packet: bytes,
+    now: float,
+) -> Effects:
+    """Pass on what waits on a flow that the upstream gave back.
+
+    The upstream gives that back, too; so the log tells its end at once.
+    """
+    flow = state.flows.get(key)
+    if flow is None or flow.asked_by is not None:
+        return pass_waiting(state, key, now)
+    judged = judge_bounce(state, key, flow, packet, now)
+    passed = pass_waiting(state, key, now)
+    return (*judged, *passed, *tell_unanswered(state, key, flow, 'bounced'))
+
+
 def _is_later_held(state: AgentState, key: bytes) -> bool:
     held = state.held.get(key)
     return held is not None and held.is_later
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/terms.py
@@ -1,8 +1,8 @@
-"""What is known of the requests of a flow before they come."""
+"""What is known of the next packets of a flow before they come."""
 
 from typing import Final, NamedTuple
 
-from keelgap.packets.envelopes import Envelope
+from keelgap.packets.envelopes import OPENING_KINDS, Envelope
 
 __all__ = ('RouteTerms', 'read_opening', 'read_packet')
 
@@ -18,6 +18,8 @@
     aim: float
     #: Seconds after which a caller no longer waits; infinite if not known.
     patience: float
+    #: Whether the caller's last packet was full, so that its request may go on.
+    goes_on: bool = False
 
 
 def read_opening(envelope: Envelope) -> RouteTerms:
@@ -33,15 +35,21 @@
     )
 
 
-def read_packet(envelope: Envelope) -> RouteTerms | None:
-    """Return what the envelope of a later packet says of its route.
+def read_packet(
+    envelope: Envelope,
+    known: RouteTerms | None,
+) -> RouteTerms | None:
+    """Return what is known of a route after a later packet.
 
-    A balancer that does not know, or of an earlier release, says nothing.
+    Its priority and aim are those of now, for the next request.  A balancer
+    that does not know, or of an earlier release, says nothing; and what an
+    opening packet that comes again says is what is left to its caller.
     """
-    if envelope.left_ms <= 0:
-        return None
-    return RouteTerms(
-        envelope.priority,
-        envelope.left_ms / _MILLISECONDS,
-        float('inf'),
-    )
+    if envelope.kind in OPENING_KINDS or envelope.left_ms <= 0:
+        return known
+    aim = envelope.left_ms / _MILLISECONDS
+    if known is None:
+        return RouteTerms(envelope.priority, aim, float('inf'))
+    if (known.priority, known.aim) == (envelope.priority, aim):
+        return known
+    return known._replace(priority=envelope.priority, aim=aim)
--- a/tests/packets/test_scheduling.py
+++ b/tests/packets/test_scheduling.py
@@ -3,6 +3,7 @@
 Each test names the pattern of load or the failure that it answers.
 """
 
+from random import Random
 from typing import Any, Final
 from unittest import TestCase, mock
 
@@ -43,7 +44,7 @@
 )
 from tests.packets.machine import PacketMachine
 from tests.packets.queue_model import QueueModel, Stream
-from tests.packets.test_agent import FLOW, ROOM, AgentTestCase
+from tests.packets.test_agent import FLOW, ROOM, SLOTS, AgentTestCase
 from tests.packets.test_balancer import BalancerTestCase
 
 ON: Final = Features(scheduling=True)
@@ -184,6 +185,44 @@
         self.assertEqual(self.list_passed(passed), [(STREAMING, 2)])
 
 
+class TermsTests(SchedulingTestCase):
+    """The route of an open flow changes."""
+
+    def hold(self, **fields: Any) -> tuple[int, float, float]:
+        """Hold a request; return its priority, and seconds of aim and all."""
+        self.assertEqual(self.speak(STREAMING, 2, **fields), [])
+        held = self.state.held[FLOW._replace(port=STREAMING).key]
+        return (
+            held.priority,
+            round(held.in_time - self.now, 6),
+            round(held.leaves - self.now, 6),
+        )
+
+    def test_later_requests_have_the_terms_of_now(self) -> None:
+        """Operators change priority and aim; callers wait as before."""
+        self.assertEqual(self.hold(priority=1, left_ms=350), (1, 0.35, 2.0))
+
+    def test_balancers_that_say_nothing_change_nothing(self) -> None:
+        """They are of an earlier release."""
+        self.assertEqual(self.hold(), (2, 0.2, 2.0))
+
+    def test_opening_packets_that_come_again_change_nothing(self) -> None:
+        """They tell what is left to their caller, not the aim."""
+        packet = make_packet(FLOW._replace(port=STREAMING), SYN)
+        for kind in (EnvelopeKind.OPEN, EnvelopeKind.TRY):
+            self.hear(kind, packet, priority=0, left_ms=7)
+        self.assertEqual(self.hold(), (2, 0.2, 2.0))
+
+    def test_opening_packets_tell_no_terms_of_a_flow_without(self) -> None:
+        """A process younger than the flow hears a late copy of one."""
+        key = FLOW._replace(port=STREAMING).key
+        self.state.flows[key].terms = None
+        packet = make_packet(FLOW._replace(port=STREAMING), SYN)
+        for kind in (EnvelopeKind.OPEN, EnvelopeKind.TRY):
+            self.hear(kind, packet, priority=0, left_ms=7)
+        self.assertIsNone(self.state.flows[key].terms)
+
+
 class PacketOrderTests(SchedulingTestCase):
     """Packets of a flow whose request waits, in any order."""
 
@@ -243,6 +282,40 @@
         passed = self.speak(0, 100)
         self.assertEqual(self.list_passed(passed), [(0, 100)])
 
+    def test_rest_of_an_upload_is_not_held(self) -> None:
+        """An interim answer comes in between, or an early refusal."""
+        for seq, answer in ((1201, b'HTTP/1.1 100'), (5001, b'HTTP/1.1 503')):
+            self.serve(0, data=b'a')
+            self.speak(STREAMING, seq, data=bytes(1200))
+            self.serve(STREAMING, data=answer)
+            self.speak(0, seq)
+            passed = self.speak(STREAMING, seq + 1200, data=b'rest')
+            self.assertEqual(
+                self.list_passed(passed), [(STREAMING, seq + 1200)]
+            )
+            self.serve(STREAMING, data=b'a')
+            self.speak(0, seq + 1)
+
+    def test_rest_of_an_upload_that_waited_is_not_held(self) -> None:
+        """Its first packets waited for room, in any order."""
+        for seq in (1201, 1):
+            self.speak(STREAMING, seq + 1, data=bytes(1200))
+        self.assertEqual(len(self.state.held), 1)
+        self.serve(0, data=b'a')
+        self.serve(STREAMING, data=b'HTTP/1.1 100')
+        self.speak(0, 100)
+        passed = self.speak(STREAMING, 2402, data=b'rest')
+        self.assertEqual(self.list_passed(passed), [(STREAMING, 2402)])
+
+    def test_request_after_an_upload_waits(self) -> None:
+        """Its last packet was not full."""
+        self.serve(0, data=b'a')
+        for seq, length in ((1201, 1200), (2401, 80)):
+            self.speak(STREAMING, seq, data=bytes(length))
+        self.serve(STREAMING, data=b'a')
+        self.speak(0, 100)
+        self.assertEqual(self.speak(STREAMING, 2481), [])
+
     def test_pipelined_request_waits_with_the_one_before(self) -> None:
         """Both go on together, in order."""
         self.speak(STREAMING, 9)
@@ -325,13 +398,47 @@
         )
         self.assertEqual(self.state.held, {})
 
+    def bounce(self, passed: SendToUpstream) -> list[Any]:
+        """Let the upstream give a packet back."""
+        bounced = bytearray(passed.datagram)
+        bounced[26] |= BOUNCED
+        return self.take(UpstreamPacket(self.now, bytes(bounced)))
+
+    def test_given_back_requests_make_room(self) -> None:
+        """Whoever waits need not wait for the next timer."""
+        (passed,) = self.speak(0, 9)
+        effects = self.bounce(passed)
+        self.assertEqual(self.list_passed(effects), [(STREAMING, 2)])
+        self.assertEqual(self.state.busy, ROOM)
+
+    def test_unknown_marks_make_room_too(self) -> None:
+        """A process that restarted has no number for the balancer."""
+        (passed,) = self.speak(0, 9)
+        self.state.balancers.hosts.clear()
+        effects = self.bounce(passed)
+        self.assertEqual(self.list_passed(effects), [(STREAMING, 2)])
+
+    def test_logs_tell_the_end_of_what_is_given_back(self) -> None:
+        """Each request that began has one."""
+        data = b'GET / HTTP/1.1\r\nX-Keelgap-Request-Id: r1\r\n\r\n'
+        self.speak(URGENT, 2, data=data)
+        self.decided.clear()
+        (passed,) = self.speak(URGENT, 2, data=b'')
+        self.bounce(passed)
+        names = self.list_names()
+        self.assertLess(
+            names.index('request_began'),
+            names.index('request_unanswered'),
+        )
+
     def test_caller_gone_without_a_word_is_not_served(self) -> None:
         """Its flow stays: if it is there after all, it repeats."""
         self.now += 2.01
         self.take(TimerFired(self.now))
         self.assertEqual(self.state.held, {})
         self.assertIn(FLOW._replace(port=STREAMING).key, self.state.flows)
-        passed = self.speak(STREAMING, 2)
+        self.assertEqual(self.speak(STREAMING, 2), [])
+        passed = self.serve(0, data=b'a')
         self.assertEqual(self.list_passed(passed), [(STREAMING, 2)])
 
 
@@ -392,16 +499,103 @@
         self.assertEqual(self.state.busy, ROOM - 1)
 
 
+class BoundTests(SchedulingTestCase):
+    """Nobody waits without end, whatever else arrives."""
+
+    def setUp(self) -> None:
+        """Note which flows have a request at work."""
+        super().setUp()
+        self.at_work = list(range(ROOM))
+        self.last_port = 1000
+
+    def play(self, seconds: float, awaited: tuple[int, int]) -> float | None:
+        """Let priority 2 arrive faster than it is served.
+
+        Return after how many seconds the awaited packet was passed on.
+        """
+        pause = 0.04
+        began = self.now
+        while self.now < began + seconds:
+            self.now += pause
+            for _ in range(2):
+                self.last_port += 1
+                wait = CallerWait(0, 9000, 9000)
+                port = self.last_port
+                self.ask(port, priority=2, left_ms=9000, wait=wait)
+            answered = self.at_work.pop(0)
+            passed = self.list_passed(self.serve(answered, data=b'a'))
+            if awaited in passed:
+                return self.now - began
+            self.at_work.extend(port for port, _ in passed)
+        return None
+
+    def test_late_request_of_the_best_route_is_served(self) -> None:
+        """More of priority 2 than can be done, all of it in time."""
+        self.speak(URGENT, 2)
+        self.now += 0.25
+        waited = self.play(2, (URGENT, 2))
+        self.assertIsNotNone(waited)
+
+    def test_long_requests_of_others_make_nobody_late(self) -> None:
+        """The mean of all answers is above the aim of a better route."""
+        self.state.answer_seconds = 0.3
+        self.play(0.4, (0, 0))
+        self.speak(URGENT, 2)
+        waited = self.play(1.5, (URGENT, 2))
+        self.assertIsNotNone(waited)
+        assert waited is not None
+        self.assertLess(waited, 0.2)
+
+
 class RoomTests(SchedulingTestCase):
     """Requests that are never answered."""
 
+    def hang(self, answers: int) -> list[tuple[int, int]]:
+        """Let new requests wait, and the upstream answer so many of them.
+
+        Return what is passed on once those at work before are overdue.
+        """
+        self.now += defaults.OVERDUE_SECONDS - 0.01
+        for port in range(50, 50 + 3 * ROOM):
+            self.ask(port, priority=1, wait=_PATIENCE)
+        for _ in range(answers):
+            passed = self.list_passed(self.serve(0, data=b'a'))
+            self.assertEqual(len(passed), 1)
+            # The long answer of this test is not the usual one.
+            self.state.answer_seconds = 0.01
+        self.now += 0.02
+        return self.list_passed(self.take(TimerFired(self.now)))
+
     def test_overdue_requests_leave_room(self) -> None:
         """An upstream that hangs on some may serve the others."""
         self.speak(STREAMING, 2)
-        self.now += defaults.OVERDUE_SECONDS + 0.01
+        self.speak(URGENT, 2)
+        self.now += defaults.OVERDUE_SECONDS - 0.01
+        passed = self.serve(0, data=b'a')
+        self.assertEqual(self.list_passed(passed), [(URGENT, 2)])
+        self.state.answer_seconds = 0.01
+        self.now += 0.02
         passed = self.take(TimerFired(self.now))
         self.assertEqual(self.list_passed(passed), [(STREAMING, 2)])
 
+    def test_room_of_overdue_requests_is_bounded(self) -> None:
+        """No more than the slots, though most at work hang."""
+        self.assertEqual(len(self.hang(1)), SLOTS)
+        self.now += defaults.OVERDUE_SECONDS - 0.01
+        self.serve(1, data=b'a')
+        self.state.answer_seconds = 0.01
+        self.now += 0.02
+        self.take(TimerFired(self.now))
+        self.assertEqual(self.state.busy, ROOM + SLOTS)
+
+    def test_upstream_that_answers_nothing_gets_nothing_more(self) -> None:
+        """Each would be lost as those before."""
+        self.assertEqual(self.hang(0), [])
+        for _ in range(20):
+            self.now += 0.1
+            self.take(TimerFired(self.now))
+        self.assertEqual(self.state.busy, ROOM)
+
     def test_slow_upstreams_are_not_overdue(self) -> None:
         """Their usual answers take as long."""
         self.state.answer_seconds = 1
@@ -507,6 +701,10 @@
                 )
 
 
+def _make_even(_random: Random, rate: float) -> float:
+    return 1 / rate
+
+
 class NobodyWaitsTests(TestCase):
     """On, and nothing to order."""
 
@@ -519,6 +717,16 @@
         self.assertGreater(len(traces[0]), 100)
         self.assertEqual(*traces)
 
+    def test_even_arrivals_at_half_load_are_those_of_before(self) -> None:
+        """Nobody waits, since requests come in even time."""
+        with mock.patch.object(Random, 'expovariate', _make_even):
+            traces = [
+                _play(0.5, scheduling=scheduling).trace
+                for scheduling in (False, True)
+            ]
+        self.assertGreater(len(traces[0]), 400)
+        self.assertEqual(*traces)
+
 
 class ForwardTests(BalancerTestCase):
     """What balancers say of later packets, for agents younger than flows."""
