--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -145,7 +145,7 @@
 def _compute_cost(question: _Question, view: AgentView) -> float:
     """Return the expected cost of one more flow at an agent."""
     slots: float = view.upstream.slots
-    if question.now < view.warm_at and not view.report.work_ms:
+    if question.now < view.warm_at:
         slots *= WARM_UP_SLOTS
     share = question.long_share
     cost = (1 - share) * _compute_delay(question, view, slots)
