--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -294,13 +294,14 @@
         self.swept_at = now
 
     def judge_anew(self, now: float) -> None:
-        """Forget all outcomes: another upstream has started."""
+        """Forget outcomes and pace: another upstream has started."""
         for flow in self.flows.values():
             flow.work = None
         given_up = self.outcomes.given_up
         self.outcomes = Outcomes(now)
         self.outcomes.given_up = given_up
         self.outcomes.has_news = self.features.ejection
+        self.pace = Pace()
 
     def change_service(self, service: str) -> None:
         """Take no packets of another service any more."""
--- a/tests/packets/test_pace.py
+++ b/tests/packets/test_pace.py
@@ -2,9 +2,11 @@
 
 from unittest import TestCase
 
+from keelgap.packets.envelopes import Envelope, EnvelopeKind
 from keelgap.packets.features import Features
+from keelgap.packets.notices import UpstreamNotice, pack_notice
 from keelgap_agent.packets import defaults
-from keelgap_agent.packets.events import UpstreamPacket
+from keelgap_agent.packets.events import EnvelopeArrived, UpstreamPacket
 from keelgap_agent.packets.pace import Pace
 from keelgap_agent.packets.reducer import reduce
 from keelgap_agent.packets.state import AgentState, Flow
@@ -78,6 +80,24 @@
             reduce(state, UpstreamPacket(1.04, packet))
         return state
 
+    def hear_start(self, state: AgentState, tag: int, revision: int) -> None:
+        """Let a balancer name the start of the upstream."""
+        notice = UpstreamNotice(
+            revision,
+            upstream_tag=tag,
+            upstream_revision=revision,
+        )
+        envelope = Envelope(
+            EnvelopeKind.HELLO,
+            0,
+            0,
+            0,
+            0,
+            state.service_tag,
+            pack_notice(notice),
+        )
+        reduce(state, EnvelopeArrived(2, '10.0.0.1', envelope))
+
     def test_answers(self) -> None:
         """They are told in the report."""
         state = self.answer(GOOD)
@@ -90,6 +110,20 @@
                 state = self.answer(content, flags)
                 self.assertEqual(state.make_report().work_ms, 0)
 
+    def test_later_start(self) -> None:
+        """Another upstream has started here: nothing is known of it."""
+        state = self.answer(GOOD)
+        self.hear_start(state, 1, 4)
+        self.hear_start(state, 2, 5)
+        self.assertEqual(state.make_report().work_ms, 0)
+
+    def test_same_start(self) -> None:
+        """A balancer greets again."""
+        state = self.answer(GOOD)
+        self.hear_start(state, 1, 4)
+        self.hear_start(state, 1, 5)
+        self.assertEqual(state.make_report().work_ms, 40)
+
     def test_switched_off(self) -> None:
         """The report is that of the release before."""
         state = self.answer(GOOD, features=OFF)
