--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -1,6 +1,7 @@
 """Who may take a new flow; of very many, a few."""
 
 from collections.abc import Container, Iterable, Sequence
+from math import gcd
 from typing import Final
 
 from xxhash import xxh3_64_intdigest
@@ -92,9 +93,12 @@
     point: int,
     count: int,
 ) -> Sequence[AgentView]:
+    """Return so many different ones, or all."""
     length = len(views)
     if length <= count:
         return views
     step = (point >> _HALF_BITS) % (length - 1) + 1
-    places = {(point + step * number) % length for number in range(count)}
-    return [views[place] for place in places]
+    while gcd(step, length) > 1:
+        # It would come back to those it drew.
+        step = step % (length - 1) + 1
+    return [views[(point + step * number) % length] for number in range(count)]
--- a/tests/packets/test_uneven.py
+++ b/tests/packets/test_uneven.py
@@ -2,15 +2,38 @@
 
 from unittest import TestCase
 
+from experiments.placing_model import Pattern
+from keelgap_balancer.packets.placing import defaults
+from keelgap_balancer.packets.placing.candidates import list_candidates
+from keelgap_balancer.packets.state import PacketState
 from tests.packets.test_placement import (
     IDLE,
     SMALL,
     choose,
     deliver,
+    make_key,
     make_state,
     report_all,
 )
 
+MOST_DRAWN = defaults.DRAWN_NEAR + defaults.DRAWN_FAR
+
+
+def make_large(size: int, zones: int = 3) -> Pattern:
+    """Return a load of zones with so many upstreams each."""
+    return SMALL._replace(
+        upstreams_in_zone=size,
+        zones=zones,
+        weights=(1.0,) * zones,
+        balancers_in_zone=1,
+    )
+
+
+def list_drawn(state: PacketState, number: int, now: float = 1) -> list[str]:
+    """Return who is compared for a flow."""
+    views = list_candidates(state, 'board', make_key(number), now, ())
+    return [view.host for view in views]
+
 
 class ColdTests(TestCase):
     """Upstreams that are slow for a while."""
@@ -32,3 +55,16 @@
             view.warm_at = 9
         taken = [choose(state, number, 1.1) for number in range(200)]
         self.assertEqual([host for host in taken if host in cold], [])
+
+
+class DrawingTests(TestCase):
+    """A few of very many upstreams."""
+
+    def test_all_drawn_differ(self) -> None:
+        """Zones of any size, also those that have many divisors."""
+        for size in (6, 7, 8, 10, 12, 34):
+            state = make_state(make_large(size, zones=12))
+            for number in range(200):
+                drawn = list_drawn(state, number)
+                self.assertEqual(len(drawn), MOST_DRAWN)
+                self.assertEqual(len(set(drawn)), MOST_DRAWN)
