--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -26,8 +26,7 @@
     """Return the agents among which the place of a flow is decided."""
     views = state.by_service.get(service, ())
     if state.features.placement and len(views) > defaults.MANY_CANDIDATES:
-        drawn = _draw(state, service, key)
-        candidates = _choose_able(state, drawn, now, excluded)
+        candidates = _list_few(state, service, key, now, excluded)
         if any(_is_ready(view, now) for view in candidates):
             return candidates
     return _choose_able(state, views, now, excluded)
@@ -61,26 +60,44 @@
     return view.is_open() and not view.is_quiet(now)
 
 
-def _draw(state: PacketState, service: str, key: bytes) -> list[AgentView]:
+def _list_few(
+    state: PacketState,
+    service: str,
+    key: bytes,
+    now: float,
+    excluded: Container[str],
+) -> list[AgentView]:
     """Return a few by the hash of a flow's key, most of them near.
 
     All balancers of an availability zone draw the same ones for a flow.
+    Where none of the near ones is ready, all of them are looked through: a
+    flow does not leave its zone because of those drawn for it.
     """
     order = _get_order(state, service)
     point = xxh3_64_intdigest(key)
     near = _pick(order.near, point, defaults.DRAWN_NEAR)
     count = defaults.DRAWN_FAR + defaults.DRAWN_NEAR - len(near)
-    return [*near, *_pick(order.far, point, count)]
+    able = _choose_able(state, near, now, excluded)
+    if not any(_is_ready(view, now) for view in able):
+        near = order.near
+    drawn = (*near, *_pick(order.far, point, count))
+    return _choose_able(state, drawn, now, excluded)
 
 
 def _get_order(state: PacketState, service: str) -> Order[AgentView]:
-    """Return the order of a service; made anew when its members change."""
+    """Return the order of a service without zones out of service.
+
+    Made anew when its members change, or those zones.
+    """
     views = state.by_service[service]
+    evacuated = state.catalog.evacuated
     order = state.placing.orders.get(service)
-    if order is None or order.views is not views:
-        ordered = sorted(views, key=lambda view: view.seed)
+    if order is None or not order.is_of(views, evacuated):
+        able = (view for view in views if not state.is_evacuated(view))
+        ordered = sorted(able, key=lambda view: view.seed)
         order = Order(
             views,
+            frozenset(evacuated),
             tuple(filter(state.is_near, ordered)),
             tuple(view for view in ordered if not state.is_near(view)),
         )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
@@ -1,5 +1,6 @@
 """What placement keeps from one decision to the next."""
 
+from collections.abc import Mapping
 from typing import Generic, NamedTuple, TypeVar
 
 from keelgap_balancer.packets.placing.defaults import TELL_SECONDS
@@ -14,10 +15,21 @@
 class Order(NamedTuple, Generic[View]):
     """The upstreams of a large service, in the same order everywhere."""
 
+    #: All of them, and the availability zones that were out of service.
     views: tuple[View, ...]
+    evacuated: frozenset[str]
+    #: Those that may be drawn.
     near: tuple[View, ...]
     far: tuple[View, ...]
 
+    def is_of(
+        self,
+        views: tuple[View, ...],
+        evacuated: Mapping[str, int],
+    ) -> bool:
+        """Return whether it is made from these."""
+        return self.views is views and self.evacuated == evacuated.keys()
+
 
 class Waits(NamedTuple):
     """Why a flow went to another availability zone."""
--- a/tests/packets/test_uneven.py
+++ b/tests/packets/test_uneven.py
@@ -3,8 +3,10 @@
 from unittest import TestCase
 
 from experiments.placing_model import Pattern
+from keelgap_balancer.packets.events import CatalogChanged
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.candidates import list_candidates
+from keelgap_balancer.packets.reducer import reduce
 from keelgap_balancer.packets.state import PacketState
 from tests.packets.test_placement import (
     IDLE,
@@ -35,6 +37,21 @@
     return [view.host for view in views]
 
 
+def get_zone(state: PacketState, host: str) -> str:
+    """Return the availability zone of an upstream."""
+    return state.by_host[host].upstream.availability_zone
+
+
+def evacuate(state: PacketState, *zones: str) -> None:
+    """Take availability zones out of service; all others are in."""
+    revision = state.catalog.revision + 1
+    catalog = state.catalog._replace(
+        revision=revision,
+        evacuated=dict.fromkeys(zones, revision),
+    )
+    reduce(state, CatalogChanged(1, catalog))
+
+
 class ColdTests(TestCase):
     """Upstreams that are slow for a while."""
 
@@ -68,3 +85,38 @@
                 drawn = list_drawn(state, number)
                 self.assertEqual(len(drawn), MOST_DRAWN)
                 self.assertEqual(len(set(drawn)), MOST_DRAWN)
+
+    def test_zones_out_of_service(self) -> None:
+        """The own one, or another: as many are drawn from the rest."""
+        for zone in ('z0', 'z1'):
+            state = make_state(make_large(34))
+            evacuate(state, zone)
+            for number in range(100):
+                drawn = list_drawn(state, number)
+                self.assertEqual(len(drawn), MOST_DRAWN)
+                zones = {get_zone(state, host) for host in drawn}
+                self.assertNotIn(zone, zones)
+
+    def test_a_zone_returns_to_service(self) -> None:
+        """Its upstreams are drawn again, with the same entries."""
+        state = make_state(make_large(34))
+        evacuate(state, 'z0')
+        list_drawn(state, 1)
+        evacuate(state)
+        near = [get_zone(state, host) for host in list_drawn(state, 1)]
+        self.assertEqual(near.count('z0'), defaults.DRAWN_NEAR)
+
+    def test_most_near_ones_owe_an_answer(self) -> None:
+        """Ten of 34 are well: flows stay, since these have room."""
+        state = make_state(make_large(34))
+        report_all(state, IDLE, IDLE, 1)
+        near = [view for view in state.by_host.values() if state.is_near(view)]
+        for view in near[:24]:
+            view.expect_answer(1)
+        for view in state.by_host.values():
+            if view not in near[:24]:
+                deliver(state, view.host, IDLE, 2)
+        for number in range(200):
+            taker = state.by_host[choose(state, number, 2)]
+            self.assertTrue(state.is_near(taker))
+            self.assertNotIn(taker, near[:24])
