--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -10,7 +10,7 @@
     'ENDED_SECONDS',
     'EXTRA_SLOTS',
     'FEWEST_PACE_SAMPLES',
-    'FIRST_FAILING_STATUS',
+    'FIRST_UNSERVED_STATUS',
     'FIRST_PACE_SAMPLES',
     'FIRST_REGISTER_SECONDS',
     'FIRST_SLOTS',
@@ -70,9 +70,9 @@
 #: turns five times as slow is known after 26 answers.
 MOST_PACE_SAMPLE: Final = 3
 
-#: Answers from this status on show that a request failed, and not how long one
-#: takes that is served.
-FIRST_FAILING_STATUS: Final = 500
+#: Answers from this status on show that a request failed or was refused, and
+#: not how long one takes that is served.
+FIRST_UNSERVED_STATUS: Final = 400
 
 #: Span in which new flows of a cold upstream are counted.  The operators'
 #: bound is on any second; a tenth more is for packets that overtake others
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -412,7 +412,7 @@
         """Learn from an answer how long requests keep a slot at work."""
         if not self.features.placement or flow.busy_since is None:
             return
-        if self.read_status(datagram) < defaults.FIRST_FAILING_STATUS:
+        if self.read_status(datagram) < defaults.FIRST_UNSERVED_STATUS:
             taken = now - flow.busy_since
             self.pace.note(taken, flow.found_busy, self.slots)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -12,6 +12,7 @@
     'FLOW_SPAN_WEIGHT',
     'FRESH_SECONDS',
     'LEAST_COST',
+    'LEAST_PACE',
     'LOAD_COST',
     'LONG_FLOW_SECONDS',
     'MANY_CANDIDATES',
@@ -32,6 +33,11 @@
 #: Costs below this are equal; none is as low with any slots.
 LEAST_COST: Final = 0.001
 
+#: An upstream counts as at most four times as quick as usual.  One that
+#: answers sooner yet may do so because it does not do the work; callers
+#: would all meet there, and wait in a queue that seems short.
+LEAST_PACE: Final = 0.25
+
 #: What it costs to meet an upstream whose slots are all taken, beside the
 #: wait for one: half of the others may be about to send there as well.
 LOAD_COST: Final = 1.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -139,7 +139,7 @@
         return 1
     pace = work_ms / typical.work_ms
     is_alike = 1 / defaults.ALIKE_PACE < pace < defaults.ALIKE_PACE
-    return 1 if is_alike else pace
+    return 1 if is_alike else max(pace, defaults.LEAST_PACE)
 
 
 def _compute_cost(question: _Question, view: AgentView) -> float:
--- a/tests/packets/test_pace.py
+++ b/tests/packets/test_pace.py
@@ -110,6 +110,18 @@
                 state = self.answer(content, flags)
                 self.assertEqual(state.make_report().work_ms, 0)
 
+    def test_refusals(self) -> None:
+        """A caller without rights, and one who asks too often."""
+        for status in (401, 404, 429):
+            with self.subTest(status):
+                state = self.answer(b'HTTP/1.1 %d No\r\n\r\n' % status)
+                self.assertEqual(state.make_report().work_ms, 0)
+
+    def test_moved(self) -> None:
+        """An answer that points elsewhere is one that was asked for."""
+        state = self.answer(b'HTTP/1.1 302 Found\r\n\r\n')
+        self.assertEqual(state.make_report().work_ms, 40)
+
     def test_later_start(self) -> None:
         """Another upstream has started here: nothing is known of it."""
         state = self.answer(GOOD)
--- a/tests/packets/test_uneven.py
+++ b/tests/packets/test_uneven.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 
 from experiments.placing_model import Pattern
+from keelgap.packets.envelopes import LoadReport
 from keelgap_balancer.packets.events import CatalogChanged
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.candidates import list_candidates
@@ -120,3 +121,27 @@
             taker = state.by_host[choose(state, number, 2)]
             self.assertTrue(state.is_near(taker))
             self.assertNotIn(taker, near[:24])
+
+
+class PaceTests(TestCase):
+    """Upstreams that answer far sooner than the others."""
+
+    def count_taken(self, quick: LoadReport, usual: LoadReport) -> int:
+        """Return how many of 200 flows an upstream draws among others."""
+        state = make_state(SMALL)
+        report_all(state, usual, usual, 1)
+        deliver(state, '10.0.0.0', quick, 1)
+        taken = [choose(state, number, 1.1) for number in range(200)]
+        return taken.count('10.0.0.0')
+
+    def test_far_quicker_with_a_queue(self) -> None:
+        """It claims a fiftieth of the work, and twelve wait there."""
+        usual = IDLE._replace(busy=1, flows=9)
+        quick = usual._replace(work_ms=1, busy=14)
+        self.assertEqual(self.count_taken(quick, usual), 0)
+
+    def test_quicker_with_room(self) -> None:
+        """It takes a quarter of the work, and has room."""
+        usual = IDLE._replace(busy=1, flows=9)
+        quick = usual._replace(work_ms=12)
+        self.assertEqual(self.count_taken(quick, usual), 200)
