--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -71,6 +71,7 @@
     excluded: tuple[str, ...],
 ) -> Effects:
     key = opening.key
+    state.placing.waits = None
     taker = _choose_trial(state, opening) or choose_taker(
         state,
         opening.route,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -68,7 +68,6 @@
         return None
     duty = _compute_duty(candidates)
     if state.features.placement:
-        state.placing.waits = None
         usual = measure_service(candidates, duty)
         if usual is not None:
             return choose_first_to_answer(
--- a/tests/packets/test_uneven.py
+++ b/tests/packets/test_uneven.py
@@ -2,9 +2,11 @@
 
 from unittest import TestCase
 
-from experiments.placing_model import Pattern
+from experiments.placing_model import BRIEF, SYN, Pattern, make_packet
 from keelgap.packets.envelopes import LoadReport
-from keelgap_balancer.packets.events import CatalogChanged
+from keelgap.packets.features import Features
+from keelgap_balancer.packets.effects import Decided
+from keelgap_balancer.packets.events import CallerPacket, CatalogChanged
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.candidates import list_candidates
 from keelgap_balancer.packets.reducer import reduce
@@ -145,3 +147,30 @@
         usual = IDLE._replace(busy=1, flows=9)
         quick = usual._replace(work_ms=12)
         self.assertEqual(self.count_taken(quick, usual), 200)
+
+
+class LineTests(TestCase):
+    """What is told of flows that leave their zone."""
+
+    def test_a_trial_is_not_for_a_wait(self) -> None:
+        """One flow left because of a queue, a later one to try an upstream."""
+        state = make_state(SMALL, Features(placement=True, ejection=True))
+        report_all(state, IDLE._replace(busy=16, flows=30), IDLE, 1)
+        self.assertEqual(self.count_lines(state, 1, 1.1), 1)
+        ejected = IDLE._replace(is_ejected=True, wants_trial=True)
+        deliver(state, '10.1.0.0', ejected, 1)
+        for host in tuple(state.by_host):
+            report = ejected if host == '10.1.0.0' else IDLE
+            deliver(state, host, report, 30)
+        before = state.placing.placed_far
+        self.assertEqual(self.count_lines(state, 2, 30), 0)
+        self.assertEqual(state.placing.placed_far, before + 1)
+
+    def count_lines(self, state: PacketState, number: int, now: float) -> int:
+        """Open a flow; return the lines on flows that went far."""
+        packet = make_packet(number, BRIEF, SYN)
+        _, effects = reduce(state, CallerPacket(now, packet))
+        return sum(
+            isinstance(one, Decided) and one.name == 'placed_far'
+            for one in effects
+        )
