--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -101,7 +101,7 @@
             tuple(filter(state.is_near, ordered)),
             tuple(view for view in ordered if not state.is_near(view)),
         )
-        state.placing.orders[service] = order
+        state.placing.keep_order(service, order, state.by_service)
     return order
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -17,6 +17,7 @@
     'LONG_FLOW_SECONDS',
     'MANY_CANDIDATES',
     'MAX_SPANS',
+    'ROUNDED_MILLISECONDS',
     'TELL_SECONDS',
     'TRUSTED_SECONDS',
     'WATCHED_FLOWS',
@@ -26,6 +27,10 @@
 #: as alike: means of 16 to 32 answers differ by as much by chance.
 ALIKE_PACE: Final = 1.5
 
+#: Upstreams whose work differs by no more than this count as alike, too:
+#: reports tell whole milliseconds, and no caller notices one.
+ROUNDED_MILLISECONDS: Final = 1
+
 #: Costs that differ by less than this factor count as equal: a request more
 #: or less at three slots, which reports are behind by anyhow.
 COST_STEP: Final = 1.25
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -132,11 +132,14 @@
 def _compute_pace(view: AgentView, typical: Typical) -> float:
     """Return how many times the usual work a request is for an upstream.
 
-    Paces that differ by little count as alike: they rest on few answers.
+    Paces that differ by little count as alike: they rest on few answers,
+    and are told in whole milliseconds.
     """
     work_ms = view.report.work_ms
     if not work_ms:
         return 1
+    if abs(work_ms - typical.work_ms) <= defaults.ROUNDED_MILLISECONDS:
+        return 1
     pace = work_ms / typical.work_ms
     is_alike = 1 / defaults.ALIKE_PACE < pace < defaults.ALIKE_PACE
     return 1 if is_alike else max(pace, defaults.LEAST_PACE)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
@@ -1,6 +1,6 @@
 """What placement keeps from one decision to the next."""
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from typing import Generic, NamedTuple, TypeVar
 
 from keelgap_balancer.packets.placing.defaults import TELL_SECONDS
@@ -54,6 +54,18 @@
         #: When such a decision was told last.
         self.told_at = float('-inf')
 
+    def keep_order(
+        self,
+        service: str,
+        order: Order[View],
+        services: Container[str],
+    ) -> None:
+        """Keep the order of a service; drop those of services that went."""
+        for name in tuple(self.orders):
+            if name not in services:
+                self.orders.pop(name)
+        self.orders[service] = order
+
     def is_tellable(self, now: float) -> bool:
         """Return whether another line is due, and note that it is told."""
         if now - self.told_at < TELL_SECONDS:
--- a/tests/packets/test_uneven.py
+++ b/tests/packets/test_uneven.py
@@ -109,6 +109,21 @@
         near = [get_zone(state, host) for host in list_drawn(state, 1)]
         self.assertEqual(near.count('z0'), defaults.DRAWN_NEAR)
 
+    def test_services_that_went(self) -> None:
+        """Operators drop a large service, and use another."""
+        state = make_state(make_large(34))
+        list_drawn(state, 1)
+        catalog = state.catalog
+        renamed = {
+            name: upstream._replace(service='forum')
+            for name, upstream in catalog.upstreams.items()
+        }
+        later = catalog._replace(revision=9, upstreams=renamed)
+        reduce(state, CatalogChanged(1, later))
+        key = make_key(1)
+        self.assertTrue(list_candidates(state, 'forum', key, 1, ()))
+        self.assertEqual(set(state.placing.orders), {'forum'})
+
     def test_most_near_ones_owe_an_answer(self) -> None:
         """Ten of 34 are well: flows stay, since these have room."""
         state = make_state(make_large(34))
@@ -142,6 +157,18 @@
         quick = usual._replace(work_ms=1, busy=14)
         self.assertEqual(self.count_taken(quick, usual), 0)
 
+    def test_a_millisecond_more_or_less(self) -> None:
+        """Requests take about 1.5 ms, and reports tell whole ones."""
+        for quick, usual in ((1, 2), (2, 1), (2, 3)):
+            few = self.count_taken(
+                IDLE._replace(work_ms=quick, busy=1, flows=9),
+                IDLE._replace(work_ms=usual, busy=1, flows=9),
+            )
+            with self.subTest(quick=quick, usual=usual):
+                # A sixth of them, by the hash.
+                self.assertGreater(few, 10)
+                self.assertLess(few, 60)
+
     def test_quicker_with_room(self) -> None:
         """It takes a quarter of the work, and has room."""
         usual = IDLE._replace(busy=1, flows=9)
