--- a/tests/packets/test_placement.py
+++ b/tests/packets/test_placement.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from random import Random
 from unittest import TestCase
 
 from experiments.placing_model import (
@@ -167,6 +168,32 @@
             taken[choose(state, number, 2.9)] += 1
         self.assertLessEqual(max(taken.values()), 5)
 
+    def test_no_herd_at_a_single_one(self) -> None:
+        """An upstream among queues was idle two seconds ago.
+
+        Each balancer counts its own picks, and trusts the report less.
+        """
+        new, old = self.count_at_idle(2.9), self.count_at_idle(1)
+        self.assertLess(old, 40)
+        self.assertLess(old, new)
+
+    def count_at_idle(self, reported_at: float) -> int:
+        """Return how many of 60 flows of 15 balancers meet the idle one."""
+        world = World(SMALL._replace(balancers_in_zone=15), ON, 1)
+        states = world.balancers[:15]
+        queue = IDLE._replace(busy=6, flows=14)
+        taken = []
+        for state in states:
+            report_all(state, queue, queue, 2.9)
+            idle = queue._replace(busy=0)
+            deliver(state, '10.0.0.0', idle, reported_at)
+        for number in range(60):
+            state = states[number % 15]
+            host = choose(state, number, 2.95)
+            state.by_host[host].picks += 1
+            taken.append(host)
+        return taken.count('10.0.0.0')
+
     def test_an_old_report_counts_less(self) -> None:
         """What was idle seconds ago has its usual load by now."""
         state = make_state(SMALL)
@@ -185,9 +212,10 @@
         state = make_state(SMALL)
         report_all(state, self.crowded, IDLE, 1)
         lines = []
-        for number in range(100):
+        for number in range(1000):
+            now = 1.1 + number * 0.0009
             packet = make_packet(number, BRIEF, SYN)
-            _, effects = reduce(state, CallerPacket(1.1, packet))
+            _, effects = reduce(state, CallerPacket(now, packet))
             lines.extend(
                 one.fields
                 for one in effects
@@ -195,7 +223,7 @@
             )
         self.assertEqual(len(lines), 1)
         self.assertGreater(lines[0]['near_cost'], lines[0]['far_cost'])
-        self.assertGreater(state.placing.placed_far, 10)
+        self.assertGreater(state.placing.placed_far, 100)
 
 
 class CandidateTests(TestCase):
@@ -214,6 +242,21 @@
         )
         self.assertGreater(same, 180)
 
+    def test_copies_near_full_slots(self) -> None:
+        """Slots are just taken; one in ten reports differs by a request."""
+        first, second = World(SMALL, ON, 1).balancers[:2]
+        random = Random(5)
+        same = 0
+        for number in range(400):
+            for host in tuple(first.by_host):
+                report = IDLE._replace(busy=2 + random.randrange(2), flows=9)
+                deliver(first, host, report, 1)
+                more = not random.randrange(10)
+                report = report._replace(busy=report.busy + more)
+                deliver(second, host, report, 1)
+            same += choose(first, number, 1.1) == choose(second, number, 1.1)
+        self.assertGreater(same, 300)
+
     def test_closed_and_quiet_ones(self) -> None:
         """The fastest is closed; the next owes an answer."""
         state = make_state(SMALL)
