--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -44,7 +44,9 @@
 LEAST_PACE: Final = 0.25
 
 #: What it costs to meet an upstream whose slots are all taken, beside the
-#: wait for one: half of the others may be about to send there as well.
+#: wait that its report shows.  Reports are behind: requests on open flows and
+#: from other balancers may take the slot that seemed free, and the caller
+#: waits for one of them to end.
 LOAD_COST: Final = 1.0
 
 #: How much longer a caller has to wait here, in requests of the usual work,
@@ -82,10 +84,13 @@
 #: 64 takes a tenth of a millisecond.
 MANY_CANDIDATES: Final = 64
 
-#: Two draws suffice against the longest queues; more find the fast ones.
+#: Callers wait where all upstreams drawn are slow or have queues.  If a third
+#: of them are, all of five are for one caller in 240, all of two for one in
+#: nine.
 DRAWN_NEAR: Final = 5
 
-#: Others, for when all of those are taken.
+#: A caller whose near ones all have queues need not wait for one of them; of
+#: two elsewhere, one may have a queue as well.
 DRAWN_FAR: Final = 2
 
 #: Shortest pause between lines on flows that went to another zone.
