--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 from keelgap.catalog.models import PacketRoute
+from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.ages import make_wait
 from keelgap_balancer.packets.effects import (
     Decided,
@@ -39,6 +40,17 @@
     now: float,
 ) -> Effects:
     """Offer a new flow to an agent, or a copy of its packet to the same."""
+    effects = _open_flow(state, key, datagram, now)
+    state.ages.note_passed(key, now)
+    return effects
+
+
+def _open_flow(
+    state: PacketState,
+    key: bytes,
+    datagram: bytes,
+    now: float,
+) -> Effects:
     route = state.routes.get(state.format.route_key(datagram))
     if route is None:
         fields = {
@@ -72,15 +84,16 @@
 ) -> Effects:
     key = opening.key
     state.placing.waits = None
-    taker = _choose_trial(state, opening) or choose_taker(
-        state,
-        opening.route,
-        key,
-        opening.now,
-        excluded,
-    )
+    taker = _choose_trial(state, opening)
     if taker is None:
-        return _refuse(state, opening)
+        taker = choose_taker(state, opening.route, key, opening.now, excluded)
+        taker = taker or _choose_again(state, opening)
+        if taker is None:
+            return _refuse(state, opening)
+        if taker in state.ejections.out:
+            # Nobody better is there, which its agent does not know.
+            hop = max(opening.hop, defaults.FORCED_HOP)
+            opening = opening._replace(hop=hop)
     state.owners.put(key, taker)
     taker.picks += 1
     told = note_placement(state, taker, opening.route, key, opening.now)
@@ -95,12 +108,31 @@
     return choose_trial(state, opening.route, service, opening.now)
 
 
+def _choose_again(state: PacketState, opening: Opening) -> AgentView | None:
+    """Return an agent that gave a flow back only as it is ejected."""
+    search = state.searches.get(opening.key)
+    if search is None or not search.ejected:
+        return None
+    taker = choose_taker(
+        state,
+        opening.route,
+        opening.key,
+        opening.now,
+        search.missed - search.ejected,
+    )
+    if taker is not None:
+        search.ejected.discard(taker.host)
+    return taker
+
+
 def _refuse(state: PacketState, opening: Opening) -> Effects:
     """Reset a new flow that nobody takes; it has not run.
 
     While programs return after an outage the first upstream may be a moment
     away; three tries of a caller are over within half a second.  Where all
-    upstreams are out of service there is nothing to wait for.
+    upstreams are out of service there is nothing to wait for.  An agent may
+    give a flow back late, when a copy of its packet has opened it elsewhere:
+    then nothing is told, and the caller's next copy is offered anew.
     """
     key = opening.key
     may_come = state.is_settling(opening.now) and not _is_all_evacuated(
@@ -111,7 +143,6 @@
         return park(state, key, opening.datagram, opening.now)
     state.searches.pop(key, None)
     state.owners.forget(key)
-    state.ages.note_reset(key, opening.now)
     state.placing.spans.forget(key)
     fields = {
         'flow': state.format.describe_key(key),
@@ -119,6 +150,9 @@
         'asked': opening.hop,
         'revision': state.catalog.revision,
     }
+    if opening.hop and state.ages.may_be_open(key, opening.now):
+        return (Decided('no_taker_late', fields),)
+    state.ages.note_reset(key, opening.now)
     return SendReset(opening.datagram), Decided('reset_no_taker', fields)
 
 
@@ -160,4 +194,6 @@
     """Offer a flow that its first choice did not take to the next."""
     search = state.searches.setdefault(opening.key, Search(opening.now))
     search.missed.add(view.host)
+    if opening.hop <= defaults.FORCED_HOP and view in state.ejections.out:
+        search.ejected.add(view.host)
     return _place(state, opening, tuple(search.missed))
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -1,12 +1,12 @@
 """Who may take a new flow; of very many, a few."""
 
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from math import gcd
 from typing import Final
 
 from xxhash import xxh3_64_intdigest
 
-from keelgap_balancer.packets.ejection import leave_out_ejected
+from keelgap_balancer.packets.ejection import find_left_out
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.memory import Order
 from keelgap_balancer.packets.state import AgentView, PacketState
@@ -25,11 +25,18 @@
 ) -> list[AgentView]:
     """Return the agents among which the place of a flow is decided."""
     views = state.by_service.get(service, ())
+    left_out = find_left_out(state, service, now)
     if state.features.placement and len(views) > defaults.MANY_CANDIDATES:
-        candidates = _list_few(state, service, key, now, excluded)
-        if any(_is_ready(view, now) for view in candidates):
+
+        def choose(drawn: Iterable[AgentView]) -> list[AgentView]:
+            able = _choose_able(state, drawn, now, excluded, left_out)
+            is_any = any(_is_ready(view, now, left_out) for view in able)
+            return able if is_any else []
+
+        candidates = _list_few(state, service, key, choose)
+        if candidates:
             return candidates
-    return _choose_able(state, views, now, excluded)
+    return _choose_able(state, views, now, excluded, left_out)
 
 
 def _choose_able(
@@ -37,11 +44,12 @@
     views: Iterable[AgentView],
     now: float,
     excluded: Container[str],
+    left_out: Container[AgentView],
 ) -> list[AgentView]:
     """Return those that take flows, as far as is known.
 
-    Those that owe an answer come last, and those whose entry went only where
-    there is nobody else.
+    Those that owe an answer come last, behind those that are ejected, and
+    those whose entry went only where there is nobody else.
     """
     others = [
         view
@@ -49,39 +57,42 @@
         if view.host not in excluded and not state.is_evacuated(view)
     ]
     members = [view for view in others if view.is_open()]
-    members = leave_out_ejected(state, members)
     if not members:
         members = [view for view in others if view.may_return(now)]
     answering = [view for view in members if not view.is_quiet(now)]
-    return answering or members
+    takers = answering or members
+    return [view for view in takers if view not in left_out] or takers
 
 
-def _is_ready(view: AgentView, now: float) -> bool:
-    return view.is_open() and not view.is_quiet(now)
+def _is_ready(
+    view: AgentView,
+    now: float,
+    left_out: Container[AgentView],
+) -> bool:
+    is_answering = view.is_open() and not view.is_quiet(now)
+    return is_answering and view not in left_out
 
 
 def _list_few(
     state: PacketState,
     service: str,
     key: bytes,
-    now: float,
-    excluded: Container[str],
+    choose: Callable[[Iterable[AgentView]], list[AgentView]],
 ) -> list[AgentView]:
     """Return a few by the hash of a flow's key, most of them near.
 
     All balancers of an availability zone draw the same ones for a flow.
     Where none of the near ones is ready, all of them are looked through: a
-    flow does not leave its zone because of those drawn for it.
+    flow does not leave its zone because of those drawn for it.  ``choose``
+    returns those that take flows, if any of them is ready.
     """
     order = _get_order(state, service)
     point = xxh3_64_intdigest(key)
     near = _pick(order.near, point, defaults.DRAWN_NEAR)
     count = defaults.DRAWN_FAR + defaults.DRAWN_NEAR - len(near)
-    able = _choose_able(state, near, now, excluded)
-    if not any(_is_ready(view, now) for view in able):
+    if not choose(near):
         near = order.near
-    drawn = (*near, *_pick(order.far, point, count))
-    return _choose_able(state, drawn, now, excluded)
+    return choose((*near, *_pick(order.far, point, count)))
 
 
 def _get_order(state: PacketState, service: str) -> Order[AgentView]:
--- a/tests/packets/test_uneven.py
+++ b/tests/packets/test_uneven.py
@@ -109,6 +109,23 @@
         near = [get_zone(state, host) for host in list_drawn(state, 1)]
         self.assertEqual(near.count('z0'), defaults.DRAWN_NEAR)
 
+    def test_ejected_ones_are_left_out(self) -> None:
+        """Two in five of 102 are ejected: most of those drawn may be."""
+        state = make_state(
+            make_large(34),
+            Features(placement=True, ejection=True),
+        )
+        report_all(state, IDLE, IDLE, 1)
+        ejected = {
+            host
+            for number, host in enumerate(state.by_host)
+            if number % 5 in {0, 2}
+        }
+        for host in ejected:
+            deliver(state, host, IDLE._replace(is_ejected=True), 1)
+        taken = {choose(state, number, 1.1) for number in range(500)}
+        self.assertEqual(taken & ejected, set())
+
     def test_services_that_went(self) -> None:
         """Operators drop a large service, and use another."""
         state = make_state(make_large(34))
