--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -83,6 +83,7 @@
     excluded: tuple[str, ...],
 ) -> Effects:
     key = opening.key
+    state.placing.waits = None
     taker = _choose_trial(state, opening)
     if taker is None:
         taker = choose_taker(state, opening.route, key, opening.now, excluded)
