--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
@@ -26,7 +26,7 @@
         return True
     if not state.features.scheduling:
         return False
-    current = state.work.count_current(now, state.slots)
+    current = state.work.count_current(now)
     return current < state.slots + agent_defaults.EXTRA_SLOTS
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/work.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/work.py
@@ -41,11 +41,10 @@
             self.answer = answer
             self.answered_at = now
 
-    def count_current(self, now: float, slots: int) -> int:
+    def count_current(self, now: float) -> int:
         """Return how many are at work and not overdue.
 
-        An upstream that answers nothing gets nothing more for that, and no
-        upstream more than as many again as it has slots.
+        An upstream that answers nothing gets nothing more for that.
         """
         patience = max(
             defaults.OVERDUE_SECONDS,
@@ -57,7 +56,7 @@
         overdue = 0
         for flow in self.flows:
             since = flow.busy_since
-            if since is None or now - since < patience or overdue >= slots:
+            if since is None or now - since < patience:
                 break
             overdue += 1
         return at_work - overdue
