--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -10,10 +10,10 @@
     'ENDED_SECONDS',
     'EXTRA_SLOTS',
     'FEWEST_PACE_SAMPLES',
-    'FIRST_FAILING_STATUS',
+    'FIRST_UNSERVED_STATUS',
     'FIRST_PACE_SAMPLES',
-    'FIRST_SLOTS',
     'FIRST_REGISTER_SECONDS',
+    'FIRST_SLOTS',
     'FLOW_LIFE_SECONDS',
     'FLOW_SECONDS',
     'HELD_PER_SLOT',
@@ -70,9 +70,9 @@
 #: turns five times as slow is known after 26 answers.
 MOST_PACE_SAMPLE: Final = 3
 
-#: Answers from this status on show that a request failed, and not how long one
-#: takes that is served.
-FIRST_FAILING_STATUS: Final = 500
+#: Answers from this status on show that a request failed or was refused, and
+#: not how long one takes that is served.
+FIRST_UNSERVED_STATUS: Final = 400
 
 #: Span in which new flows of a cold upstream are counted.  The operators'
 #: bound is on any second; a tenth more is for packets that overtake others
@@ -128,9 +128,10 @@
 #: Pause between registrations with a directory node, if only empty ones.
 REGISTER_SECONDS: Final = 1.0
 
-#: In the first second the pause is this times the number of shards: after an
-#: outage nodes start at any moment, and verdicts wait for the registrations
-#: that they missed.  At 1,000 upstreams a node gets 1,250 of them a second.
+#: In the agent's first second the pause is this times the number of shards:
+#: after an outage nodes start at any moment, and verdicts wait for the
+#: registrations that they missed.  At 1,000 upstreams a node gets 1,250 of
+#: them a second.
 FIRST_REGISTER_SECONDS: Final = 0.1
 
 #: A directory node speaks for an agent for so long after its last
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
@@ -15,6 +15,7 @@
         'is_silent',
         'returned_at',
         'since',
+        'trial_seconds',
         'trials',
         'wait',
         'wanted_since',
@@ -24,7 +25,7 @@
     def __init__(self) -> None:
         """Start as an upstream that is not ejected."""
         self.is_out = False
-        #: Whether the upstream gives no answers, rather than bad ones.
+        #: Whether requests get no answers, rather than bad ones.
         self.is_silent = False
         #: Whether one more request should try it.
         self.wants_trial = False
@@ -39,6 +40,8 @@
         self.good_trials = 0
         #: Flows that try it, and when each was taken.
         self.trials: dict[bytes, float] = {}
+        #: How long each may take.
+        self.trial_seconds = defaults.TRIAL_SECONDS
         #: Other flows taken because nobody else took them.
         self.forced: set[bytes] = set()
 
@@ -106,7 +109,7 @@
 
     def update(self, now: float) -> None:
         """Find out whether one more trial is wanted."""
-        limit = now - defaults.TRIAL_SECONDS
+        limit = now - self.trial_seconds
         self.trials = {
             key: at for key, at in self.trials.items() if at >= limit
         }
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/giving_up.py
@@ -9,6 +9,9 @@
 for the caller may have chosen another one.  If the upstream gives bad answers,
 those who wait get theirs: some are good, and the others come as soon as a
 reset would.
+
+An agent that is younger than its upstream gives up nothing: what looks new to
+it may be a late copy of a flow that is open.
 """
 
 from keelgap.packets.envelopes import OPENING_KINDS
@@ -49,20 +52,30 @@
 
 
 def give_back_opening(state: AgentState, key: bytes, now: float) -> Effects:
-    """Give a flow back whose opening packet the upstream did not answer."""
-    event = state.outcomes.unopened[key]
+    """Give a flow back whose opening packet the upstream did not answer.
+
+    Balancers of earlier releases might reset it, though it is open elsewhere.
+    """
+    event = state.outcomes.unopened.pop(key)
+    is_understood = bool(state.balancers.report_formats.get(event.sender))
+    if not state.registrar.is_complete or not is_understood:
+        return ()
     fields = _describe(state, key, now - event.now)
+    # Data show that the caller chose another upstream, so only they matter.
+    events = tuple(state.held[key].packets.values()) or (event,)
     _forget(state, key, now, is_reset=False)
-    miss = state.give_back(event.sender, event.envelope)
-    return miss, Decided('miss_unopened', fields)
+    misses = [state.give_back(one.sender, one.envelope) for one in events]
+    return *misses, Decided('miss_unopened', fields)
 
 
 def give_up_ready(state: AgentState, key: bytes, now: float) -> Effects:
     """Reset a flow whose request came, while the upstream is ejected."""
     ejection = state.outcomes.ejection
     held = state.held[key]
-    is_lost = ejection.is_out and ejection.is_silent
-    if not is_lost or ejection.is_taken(key) or not held.packets:
+    is_known = state.registrar.is_complete
+    if not is_known or not ejection.is_out or not ejection.is_silent:
+        return ()
+    if ejection.is_taken(key) or not held.packets:
         return ()
     datagram = next(iter(held.packets.values())).envelope.content
     flow = state.flows[key]
@@ -87,11 +100,14 @@
     """
     envelope = event.envelope
     datagram = envelope.content
-    if not state.outcomes.given_up[key].is_reset:
+    is_opening = envelope.kind in OPENING_KINDS
+    # A caller that was reset may open a new flow from the same port.
+    is_new = is_opening and not state.format.copies(datagram)
+    if is_new or not state.outcomes.given_up[key].is_reset:
         miss = state.give_back(event.sender, envelope)
         return miss, Decided('miss_given_up')
     is_over = state.format.flags(datagram) & ENDS_FLOW
-    if is_over or envelope.kind in OPENING_KINDS:
+    if is_over or is_opening:
         return (Decided('drop_given_up'),)
     reset = SendToCaller(state.format.make_reset(datagram))
     return reset, Decided('reset_given_up')
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -295,13 +295,14 @@
         self.swept_at = now
 
     def judge_anew(self, now: float) -> None:
-        """Forget all outcomes: another upstream has started."""
+        """Forget outcomes and pace: another upstream has started."""
         for flow in self.flows.values():
             flow.work = None
         given_up = self.outcomes.given_up
         self.outcomes = Outcomes(now)
         self.outcomes.given_up = given_up
         self.outcomes.has_news = self.features.ejection
+        self.pace = Pace()
 
     def change_service(self, service: str) -> None:
         """Take no packets of another service any more."""
@@ -423,7 +424,7 @@
         """Learn from an answer how long requests keep a slot at work."""
         if not self.features.placement or flow.busy_since is None:
             return
-        if self.format.read_status(datagram) < defaults.FIRST_FAILING_STATUS:
+        if self.format.read_status(datagram) < defaults.FIRST_UNSERVED_STATUS:
             taken = now - flow.busy_since
             self.pace.note(taken, flow.found_busy, self.slots)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -65,6 +65,8 @@
     in_doubt: float = 0
     #: How often the request was refused for want of room.
     refusals: int = 0
+    #: When the caller's latest packet of it was passed on.
+    passed: float = float('-inf')
 
 
 class CallerAges:
@@ -105,6 +107,23 @@
         opening = self.openings.get(key)
         return 0 if opening is None else now - opening.requested
 
+    def note_passed(self, key: bytes, now: float) -> None:
+        """Note that a packet of the caller went to an agent just now."""
+        opening = self.openings.get(key)
+        if opening is not None:
+            self.openings[key] = opening._replace(passed=now)
+
+    def may_be_open(self, key: bytes, now: float) -> bool:
+        """Return whether a caller may have opened its flow meanwhile.
+
+        A copy of its opening packet may have gone through another balancer,
+        and have been answered since this one saw the caller ask.
+        """
+        opening = self.openings.get(key)
+        if opening is None:
+            return True
+        return now - opening.passed > defaults.OPENED_SECONDS
+
     def is_given_up(self, key: bytes, now: float) -> bool:
         """Return whether the caller of an opening no longer waits for it."""
         opening = self.openings.get(key)
@@ -121,13 +140,14 @@
         """Expect the caller of a flow that is reset to come again.
 
         The first packet of it that came here, ``searched`` seconds ago, may
-        have been a copy.
+        have been a copy.  Neither is known of the next request of that host:
+        it leaves earlier in doubt, and is not taken for one that has left.
         """
         opening = self.openings.get(key)
         given_up = now - defaults.GIVE_UP_SECONDS
         if opening is None:
-            requested = now - searched - defaults.RESET_AGE_SECONDS
-            doubt = defaults.RESET_DOUBT_SECONDS
+            requested = now - defaults.RESET_AGE_SECONDS
+            doubt = defaults.RESET_DOUBT_SECONDS + searched
         else:
             requested = opening.requested
             doubt = opening.in_doubt
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -27,6 +27,7 @@
     'FAR_ASK_SECONDS',
     'FAR_TRIAL_SECONDS',
     'FLOW_GENERATION_SECONDS',
+    'FORCED_HOP',
     'FORMER_ROUTE_SECONDS',
     'GIVE_UP_SECONDS',
     'GONE_SECONDS',
@@ -54,6 +55,8 @@
     'MAX_UNSPOKEN',
     'MIN_NEAR_AGENTS',
     'NOTICE_AGAIN_SECONDS',
+    'MANY_UPSTREAMS',
+    'OPENED_SECONDS',
     'PEER_SECONDS',
     'PROBES_AT_ONCE',
     'QUEUE_LOAD',
@@ -67,6 +70,7 @@
     'RETRY_PAUSE_SECONDS',
     'RETRY_SECONDS',
     'SERVING_SHARE',
+    'SHARES_SECONDS',
     'TRIAL_PAUSE_SECONDS',
     'ROUTERS_SECONDS',
     'SEARCH_SECONDS',
@@ -274,11 +278,29 @@
 #: for so long.  A wide one that was restarted is back within two seconds.
 YIELD_SECONDS: Final = 2.0
 
+#: An opening packet that comes back later than this is no proof that its flow
+#: is not open: a copy may have been answered elsewhere.  Several round trips
+#: between availability zones, and less than callers wait between copies.
+OPENED_SECONDS: Final = 0.05
+
 #: Ejected upstreams are left out while the others have this share of a
 #: service's slots.  Beyond it most requests would wait too long, and a cause
 #: that most upstreams share is not theirs.
 SERVING_SHARE: Final = 0.5
 
+#: With more upstreams of a service that share is not computed anew for each
+#: flow: to look over 1,000 takes 0.4 milliseconds.
+MANY_UPSTREAMS: Final = 64
+
+#: It is computed again after this, since agents fall silent meanwhile; a tenth
+#: of the time after which they count as silent.
+SHARES_SECONDS: Final = 0.035
+
+#: Agents of ejected upstreams take a new flow that was offered so often.  They
+#: are offered one with this count at once where nobody else is left, for
+#: callers of a service with fewer upstreams would be refused by all.
+FORCED_HOP: Final = 3
+
 #: Pause between flows that this balancer sends to one ejected upstream: its
 #: agent takes few at once, and a flow given back costs its caller a way.
 TRIAL_PAUSE_SECONDS: Final = 0.1
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/defaults.py
@@ -12,10 +12,12 @@
     'FLOW_SPAN_WEIGHT',
     'FRESH_SECONDS',
     'LEAST_COST',
+    'LEAST_PACE',
     'LOAD_COST',
     'LONG_FLOW_SECONDS',
     'MANY_CANDIDATES',
     'MAX_SPANS',
+    'ROUNDED_MILLISECONDS',
     'TELL_SECONDS',
     'TRUSTED_SECONDS',
     'WATCHED_FLOWS',
@@ -25,6 +27,10 @@
 #: as alike: means of 16 to 32 answers differ by as much by chance.
 ALIKE_PACE: Final = 1.5
 
+#: Upstreams whose work differs by no more than this count as alike, too:
+#: reports tell whole milliseconds, and no caller notices one.
+ROUNDED_MILLISECONDS: Final = 1
+
 #: Costs that differ by less than this factor count as equal: a request more
 #: or less at three slots, which reports are behind by anyhow.
 COST_STEP: Final = 1.25
@@ -32,8 +38,15 @@
 #: Costs below this are equal; none is as low with any slots.
 LEAST_COST: Final = 0.001
 
+#: An upstream counts as at most four times as quick as usual.  One that
+#: answers sooner yet may do so because it does not do the work; callers
+#: would all meet there, and wait in a queue that seems short.
+LEAST_PACE: Final = 0.25
+
 #: What it costs to meet an upstream whose slots are all taken, beside the
-#: wait for one: half of the others may be about to send there as well.
+#: wait that its report shows.  Reports are behind: requests on open flows and
+#: from other balancers may take the slot that seemed free, and the caller
+#: waits for one of them to end.
 LOAD_COST: Final = 1.0
 
 #: How much longer a caller has to wait here, in requests of the usual work,
@@ -71,10 +84,13 @@
 #: 64 takes a tenth of a millisecond.
 MANY_CANDIDATES: Final = 64
 
-#: Two draws suffice against the longest queues; more find the fast ones.
+#: Callers wait where all upstreams drawn are slow or have queues.  If a third
+#: of them are, all of five are for one caller in 240, all of two for one in
+#: nine.
 DRAWN_NEAR: Final = 5
 
-#: Others, for when all of those are taken.
+#: A caller whose near ones all have queues need not wait for one of them; of
+#: two elsewhere, one may have a queue as well.
 DRAWN_FAR: Final = 2
 
 #: Shortest pause between lines on flows that went to another zone.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/memory.py
@@ -1,5 +1,6 @@
 """What placement keeps from one decision to the next."""
 
+from collections.abc import Container, Mapping
 from typing import Generic, NamedTuple, TypeVar
 
 from keelgap_balancer.packets.placing.defaults import TELL_SECONDS
@@ -14,10 +15,21 @@
 class Order(NamedTuple, Generic[View]):
     """The upstreams of a large service, in the same order everywhere."""
 
+    #: All of them, and the availability zones that were out of service.
     views: tuple[View, ...]
+    evacuated: frozenset[str]
+    #: Those that may be drawn.
     near: tuple[View, ...]
     far: tuple[View, ...]
 
+    def is_of(
+        self,
+        views: tuple[View, ...],
+        evacuated: Mapping[str, int],
+    ) -> bool:
+        """Return whether it is made from these."""
+        return self.views is views and self.evacuated == evacuated.keys()
+
 
 class Waits(NamedTuple):
     """Why a flow went to another availability zone."""
@@ -42,6 +54,18 @@
         #: When such a decision was told last.
         self.told_at = float('-inf')
 
+    def keep_order(
+        self,
+        service: str,
+        order: Order[View],
+        services: Container[str],
+    ) -> None:
+        """Keep the order of a service; drop those of services that went."""
+        for name in tuple(self.orders):
+            if name not in services:
+                self.orders.pop(name)
+        self.orders[service] = order
+
     def is_tellable(self, now: float) -> bool:
         """Return whether another line is due, and note that it is told."""
         if now - self.told_at < TELL_SECONDS:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -37,6 +37,7 @@
     'NodeView',
     'PacketState',
     'Search',
+    'SharesDecision',
     'make_owners',
 )
 
@@ -189,8 +190,9 @@
     __slots__ = (
         'asked',
         'denied',
+        'ejected',
         'heard',
-        'is_told',
+        'is_parked',
         'kept_since',
         'lacks_time',
         'latest',
@@ -199,12 +201,12 @@
         'missed',
         'named',
         'needed_revision',
-        'parked',
         'pending',
         'pending_since',
         'questions',
         'renewed',
         'started',
+        'told',
         'tried',
     )
 
@@ -217,15 +219,15 @@
         self.heard = now
         #: Latest packet of the flow, with which the next agent is asked.
         self.latest = b''
-        #: Packet that waits for a later catalog, after everybody said no.
-        self.parked: bytes | None = None
-        #: Revision that the catalog must have before a verdict: the latest
-        #: that anybody knew of when everybody had said no.
-        self.needed_revision: int | None = None
+        #: Whether it waits for a later catalog, after everybody said no.
+        self.is_parked = False
+        #: Revision that the catalog must have before the search goes on: the
+        #: latest that was heard of when everybody had said no.
+        self.needed_revision = 0
         #: Since when it waits for entries that may come back.
         self.kept_since: float | None = None
-        #: Whether a line told of that.
-        self.is_told = False
+        #: Names of the lines that told of a wait.
+        self.told: set[str] = set()
         #: Whether an agent warned that living upstreams may have no entry.
         self.may_lack_entries = False
         #: Hosts asked, in order.
@@ -234,6 +236,8 @@
         self.missed: set[str] = set()
         #: How many hosts said no because of a new flow's time.
         self.lacks_time = 0
+        #: Hosts among them that may take a new flow if nobody else does.
+        self.ejected: set[str] = set()
         #: Host asked last, that has not answered.
         self.pending: str | None = None
         self.pending_since = now
@@ -275,7 +279,7 @@
     @property
     def is_waiting(self) -> bool:
         """Return whether nobody is to be asked before something changes."""
-        return self.parked is not None or self.kept_since is not None
+        return self.is_parked or self.kept_since is not None
 
     def lacks_answer(self, node: str) -> bool:
         """Return whether a directory node was asked and did not answer."""
@@ -283,7 +287,7 @@
 
     def end_wait(self, now: float) -> None:
         """Go on to ask, for as long as a new search would."""
-        self.parked = None
+        self.is_parked = False
         self.kept_since = None
         self.renewed = now
 
@@ -330,10 +334,24 @@
         self.seed = int(now * _MICROSECONDS) % _SEEDS
 
 
+class SharesDecision(NamedTuple):
+    """Whether ejected upstreams of a large service are left out."""
+
+    views: tuple[AgentView, ...]
+    at: float
+    #: Whether the others have enough of the slots.
+    do_others_suffice: bool
+
+    def is_valid(self, views: tuple[AgentView, ...], now: float) -> bool:
+        """Return whether it still holds for these upstreams."""
+        is_same = self.views is views
+        return is_same and now - self.at < defaults.SHARES_SECONDS
+
+
 class Ejections:
     """The upstreams that fail requests, as their agents say."""
 
-    __slots__ = ('out', 'wanting')
+    __slots__ = ('decisions', 'out', 'wanting')
 
     def __init__(self) -> None:
         """Start with none."""
@@ -341,6 +359,8 @@
         self.out: dict[AgentView, float] = {}
         #: Those among them that want to be tried, and since when.
         self.wanting: dict[AgentView, float] = {}
+        #: By service; of large services with ejected upstreams.
+        self.decisions: dict[str, SharesDecision] = {}
 
 
 class PacketState:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -143,8 +143,8 @@
 
     Its upstream may be unknown here: one that started a moment ago, or one
     whose entry lapsed before this process read anything.  The search waits
-    then: for the changes that anybody knew of when everybody had said no, and
-    for the entries that may come back.  Those who come in are asked.
+    then: for all changes that this process has heard of by now, and for the
+    entries that may come back.  Those who come in are asked.
     """
     if not search.questions:
         state.searches.pop(key, None)
@@ -156,20 +156,19 @@
         'milliseconds': round((now - search.started) * 1000, 1),
         'revision': state.confirmed_revision,
     }
-    datagram = search.latest
-    if search.needed_revision is None:
-        # What is written later cannot list the flow's upstream first: it was
-        # open when its packet came.
-        search.needed_revision = state.latest_change if state.is_behind else 0
+    # A change may be heard of after the denials and still be older than the
+    # flow: the mark rises with each verdict that is sought.
+    search.needed_revision = state.latest_change if state.is_behind else 0
     if search.needed_revision > state.confirmed_revision:
-        search.parked = datagram
+        search.is_parked = True
         fields['latest_change'] = search.needed_revision
-        return CatchUp(), Decided('verdict_waits_for_catalog', fields)
+        told = _tell_once(search, 'verdict_waits_for_catalog', fields)
+        return CatchUp(), *told
     if search.may_lack_entries and state.is_newly_informed(now):
         return _wait_for_entries(search, fields, now)
     state.searches.pop(key, None)
     state.ages.note_reset(key, now, now - search.started)
-    return SendReset(datagram), Decided('reset_dead_flow', fields)
+    return SendReset(search.latest), Decided('reset_dead_flow', fields)
 
 
 def _wait_for_entries(
@@ -177,13 +176,18 @@
     fields: dict[str, object],
     now: float,
 ) -> Effects:
-    """Keep a search until entries that lapsed are back.
-
-    What comes with them may name changes that are not known here yet.
-    """
+    """Keep a search until entries that lapsed are back."""
     search.kept_since = now
-    search.needed_revision = None
-    if search.is_told:
+    return _tell_once(search, 'no_verdict_without_entries', fields)
+
+
+def _tell_once(
+    search: Search,
+    name: str,
+    fields: dict[str, object],
+) -> Effects:
+    """Tell of a wait; hundreds of searches may wait again each catalog."""
+    if name in search.told:
         return ()
-    search.is_told = True
-    return (Decided('no_verdict_without_entries', fields),)
+    search.told.add(name)
+    return (Decided(name, fields),)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
@@ -21,8 +21,9 @@
     """Go on with searches that waited for a later catalog."""
     effects: list[PacketEffect] = []
     for key, search in tuple(state.searches.items()):
-        needed = search.needed_revision or 0
-        if search.parked is None or needed > state.confirmed_revision:
+        if not search.is_parked:
+            continue
+        if search.needed_revision > state.confirmed_revision:
             continue
         search.end_wait(now)
         search.begin_anew()
@@ -66,7 +67,9 @@
     if now - node.asked_at < defaults.SEARCH_STEP_SECONDS:
         return ()
     for key, search in state.searches.items():
-        if search.pending is None and search.lacks_answer(host):
+        if search.is_waiting or search.pending is not None:
+            continue
+        if search.lacks_answer(host):
             search.lookups.add(host)
             search.pending_since = now
             node.waiting[key] = None
--- a/tests/packets/ejection_world.py
+++ b/tests/packets/ejection_world.py
@@ -88,7 +88,8 @@
         if datagram[26] & SYN:
             if self.treatment(self.seen, flow.route) == 'mute':
                 return []
-            self.open.add(flow.key)
+            if self.treatment(self.seen, flow.route) != 'forget':
+                self.open.add(flow.key)
             return [make_packet(flow, SYN | ACK, back=True, seq=_FIRST)]
         if flow.key not in self.open:
             octets = bytearray(datagram)
@@ -105,6 +106,8 @@
         self.requests[f'{treatment} {flow.route.name}'] += 1
         if treatment == 'hang':
             return []
+        if treatment == 'close':
+            return [make_packet(flow, FIN | ACK, back=True, seq=_FIRST + 1)]
         if treatment == 'reset':
             return [make_packet(flow, RST, back=True, seq=_FIRST + 1)]
         content = ANSWERS[treatment]
@@ -141,6 +144,8 @@
         self.agents: dict[str, AgentState] = {}
         for host in self.upstreams:
             self.restart_agent(host)
+            # Agent and upstream have started together.
+            self.agents[host].registrar.is_complete = True
         self.balancers = {
             f'10.1.0.{number + 1}': PacketState(FORMAT, 'a', self.now, features)
             for number in range(balancers)
@@ -212,6 +217,18 @@
         self.send(hosts[(flow.port + 1) % len(hosts)], packet)
         return self.read_end(flow)
 
+    def answer(self, host: str, flow: FlowName) -> None:
+        """Let an upstream answer a request that hung so far."""
+        packet = make_packet(
+            flow,
+            ACK,
+            back=True,
+            seq=_FIRST + 1,
+            data=ANSWERS[GOOD],
+        )
+        self._run_agent(host, agent_events.UpstreamPacket(self.now, packet))
+        self._deliver()
+
     def read_end(self, flow: FlowName) -> str:
         """Return what the caller has got behind the opening packet."""
         ends = map(_read_end, self.to_caller[flow.key][1:])
