--- a/tests/packets/test_admission.py
+++ b/tests/packets/test_admission.py
@@ -239,7 +239,7 @@
 
     def test_flood_of_refused_callers_is_bounded(self) -> None:
         """Whoever tells of them."""
-        ages = CallerAges()
+        ages = CallerAges(0)
         for number in range(defaults.MAX_OPENINGS + 5):
             key = number.to_bytes(12, 'big')
             ages.expect_again(RefusedCaller(key, 0, 1), self.now)
