--- a/tests/packets/test_ejection_oracle.py
+++ b/tests/packets/test_ejection_oracle.py
@@ -5,7 +5,7 @@
 from unittest import TestCase, mock
 
 from hypothesis import strategies as st
-from hypothesis.stateful import rule
+from hypothesis.stateful import initialize, rule
 
 from keelgap.catalog.models import PacketUpstream
 from keelgap.packets.envelopes import Envelope, EnvelopeKind
@@ -52,6 +52,13 @@
 
     features = Features(ejection=True)
 
+    @initialize()
+    def start(self) -> None:
+        """Start the whole fleet for the first time, as agents are told."""
+        super().start()
+        for agent in self.agents.values():
+            agent.registrar.is_complete = True
+
     @rule(number=st.sampled_from(HOSTS))
     def eject(self, number: int) -> None:
         """Let an agent find that its upstream fails."""
