--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -1,4 +1,7 @@
-"""Which requests the upstream gets, and when.
+"""Which requests wait here, and when the upstream gets them.
+
+Early refusal, the feature ``admission``, is in ``room``; later requests on open
+flows are in ``scheduling``.
 
 An upstream serves its queue in order, so after an outage everybody would be
 late: those who came back first, and all who come after them.  So opening
@@ -10,7 +13,7 @@
 
 Those who return after an outage go first when they are about to leave, then
 those that can be answered in time, by priority; the others get what room is
-left.  Nothing waits that is not meant to be served.
+left.
 """
 
 from typing import Final
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
@@ -35,9 +35,9 @@
     'TRIAL_SECONDS',
 )
 
-#: What a request that was lost proves: the logarithm of how much more often
-#: it is seen of an upstream that fails two requests in five than of one that
-#: fails one in fifty.  Its caller may not repeat it, so it weighs most.
+#: What a lost request proves: the log-likelihood ratio of an upstream that
+#: fails two requests in five against one that fails one in fifty, ln(0.4 /
+#: 0.02).  Its caller may not repeat it, so it weighs most.
 LOST_WEIGHT: Final = 3.0
 
 #: A 5xx answer: the application may be to blame.
@@ -47,8 +47,7 @@
 #: loses a try only.
 REFUSED_WEIGHT: Final = 1.5
 
-#: What a good answer takes off: as the weight of a lost one, by how much less
-#: often it is seen.
+#: What a good answer takes off, by the same ratio: ln(0.98 / 0.6).
 GOOD_WEIGHT: Final = 0.5
 
 #: An upstream is ejected from this on: two lost requests without an answer
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/ejection.py
@@ -6,7 +6,7 @@
 
 
 class Ejection:
-    """In, out, or out and wanting requests for a trial."""
+    """Whether the upstream is ejected, and how its trials went."""
 
     __slots__ = (
         'forced',
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/telling.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/telling.py
@@ -26,7 +26,8 @@
 def tell_news(state: AgentState, effects: Effects) -> Effects:
     """Put reports of a changed judgement before all else that is sent.
 
-    A balancer that gets a flow back knows then why, and offers no other one.
+    So a balancer that gets a flow back knows the reason already, and offers no
+    further one.
     """
     outcomes = state.outcomes
     if not outcomes.has_news and not outcomes.untold:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/room/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/room/defaults.py
@@ -43,10 +43,9 @@
 #: served if they were taken for the usual load.
 FEWEST_LOAD_SECONDS: Final = 5.0
 
-#: Late requests are surely too many when they are so many times those that the
-#: usual load leaves room for.  Where it leaves a third of the upstream, half of
-#: that takes all who could be answered if nobody else came: after a short
-#: burst callers are better served late than refused.
+#: Late requests are refused only when they exceed the late places that the
+#: usual load leaves by this factor: after a short burst callers are better
+#: served late than refused.
 SURE_FACTOR: Final = 6.0
 
 #: Time kept free ahead of those who ask for the first time, in requests'
@@ -64,7 +63,8 @@
 #: Refusals so long ago still mean that there is too little room.
 PRESSED_SECONDS: Final = 1.0
 
-#: What a refusal counts for in the load: balancers ask three agents.
+#: What a refusal counts for in the load: a refused flow is counted at each
+#: agent that was asked, ``FEWEST_WITHOUT_TIME`` of the balancer.
 REFUSED_WEIGHT: Final = 1 / 3
 
 #: Who has asked for so long was refused before: asking several agents takes
--- a/packages/keelgap-agent/src/keelgap_agent/packets/room/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/room/verdicts.py
@@ -1,7 +1,8 @@
 """Whose answer would surely come too late, before its flow is open.
 
-Once a flow is open nobody may end it but its upstream, so a request that
-cannot be served is refused with its opening packet or not at all.  One that
+An open flow is ended by its upstream only, so a request that cannot be served
+is refused with its opening packet or not at all.  (One exception: beside an
+ejected upstream that is silent, ``outcomes/giving_up.py``.)  One that
 can be answered in time is taken.  One that would be late is taken unless so
 many late ones wait already that the room left by the usual load cannot serve
 them before its caller leaves, even with less than that load.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/defaults.py
@@ -18,10 +18,9 @@
 #: A request at work for so many mean times to an answer, and at least so
 #: many seconds, no longer counts against the room of its upstream: it may
 #: never be answered, and its place stands empty then.  If it is only long,
-#: one more request waits at the upstream rather than here.  At most as
-#: many as there are slots are left out of the count, and none while the
-#: upstream has answered nothing for as long: what is passed on to one that
-#: hangs is lost, and what waits here may still be answered.
+#: one more request waits at the upstream rather than here.  All
+#: count while the upstream has answered nothing for as long: what is passed on
+#: to one that hangs is lost, and what waits here may still be answered.
 OVERDUE_ANSWERS: Final = 6
 OVERDUE_SECONDS: Final = 0.3
 
@@ -30,9 +29,8 @@
 STARVED_SECONDS: Final = 0.5
 
 #: Of the requests that are passed on while such a one waits, each of this
-#: number is one of these.  3 % of the upstream are what others give for that
-#: late requests and low priorities are served at all; an eighth made twice as
-#: many late when the load came near to what can be done.
+#: number is one of these.  A lower one serves them sooner, and makes more of
+#: the others late.
 PASSED_OVER: Final = 32
 
 #: Waits are counted by priority up to this one; lower ones count together.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
@@ -108,8 +108,7 @@
 
     Callers from an outage who are about to leave come first, as without
     this order.  Then come those that can be in time, by priority, and at
-    equal priority whose time ends first: a busy upstream makes half as many
-    late that way as with the latest first.  The others have what is left,
+    equal priority the earliest deadline first.  The others have what is left,
     who leaves first before them, and last is who leaves before an answer.
     """
     if held.is_from_outage:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -379,7 +379,11 @@
 
     @property
     def has_room(self) -> bool:
-        """Return whether the upstream can start on another request."""
+        """Return whether the upstream has a place for another request.
+
+        To pass requests on use ``scheduling.order.has_room``, which also knows
+        of overdue ones.
+        """
         at_work = self.busy - self.outcomes.count_stuck()
         return at_work < self.slots + defaults.EXTRA_SLOTS
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/admission.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/admission.py
@@ -55,10 +55,11 @@
 
 
 def has_asked_enough(search: Search) -> bool:
-    """Return whether only agents that reported room are left to ask.
+    """Return whether enough agents had no time for a flow.
 
-    Reports are some ten milliseconds old, so one agent may have had room when
-    it was chosen.  A balancer that hears no agent refuses nobody.
+    After that only agents are asked whose reports show room; reports may be
+    some ten milliseconds old, so one answer is not enough.  A balancer that
+    hears no agent refuses nobody.
     """
     return search.lacks_time >= defaults.FEWEST_WITHOUT_TIME
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ages.py
@@ -4,7 +4,7 @@
 gives up, it opens a flow from another port.  Nothing in a packet says that
 two flows serve one request, but the second comes from the same host right
 after the first was given up or reset.  The guess orders those who wait for
-room; nobody is refused for it.
+room.  With early refusal on it also decides who is refused.
 """
 
 from typing import Final, NamedTuple
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -43,6 +43,8 @@
     'SUSPECT_SECONDS',
     'LOOKUP_AGAIN_SECONDS',
     'LOOKUP_SECONDS',
+    'LEFT_OUT_SECONDS',
+    'MANY_FOR_LEFT_OUT',
     'MAX_ASKED',
     'MAX_FLOWS',
     'MAX_GOSSIP_PEERS',
@@ -55,7 +57,6 @@
     'MAX_UNSPOKEN',
     'MIN_NEAR_AGENTS',
     'NOTICE_AGAIN_SECONDS',
-    'MANY_UPSTREAMS',
     'OPENED_SECONDS',
     'PEER_SECONDS',
     'PROBES_AT_ONCE',
@@ -70,7 +71,6 @@
     'RETRY_PAUSE_SECONDS',
     'RETRY_SECONDS',
     'SERVING_SHARE',
-    'SHARES_SECONDS',
     'TRIAL_PAUSE_SECONDS',
     'ROUTERS_SECONDS',
     'SEARCH_SECONDS',
@@ -290,11 +290,11 @@
 
 #: With more upstreams of a service that share is not computed anew for each
 #: flow: to look over 1,000 takes 0.4 milliseconds.
-MANY_UPSTREAMS: Final = 64
+MANY_FOR_LEFT_OUT: Final = 64
 
 #: It is computed again after this, since agents fall silent meanwhile; a tenth
 #: of the time after which they count as silent.
-SHARES_SECONDS: Final = 0.035
+LEFT_OUT_SECONDS: Final = 0.035
 
 #: Agents of ejected upstreams take a new flow that was offered so often.  They
 #: are offered one with this count at once where nobody else is left, for
@@ -324,8 +324,8 @@
 #: reports that chose them were up to 50 ms old.
 FEWEST_WITHOUT_TIME: Final = 3
 
-#: Flows of so many seconds count towards a caller's share: one balancer among
-#: many sees a few of each caller's in this time.
+#: Time constant with which a caller's flows cease to count towards its share:
+#: one balancer among many sees a few of each caller's in this time.
 SHARE_SECONDS: Final = 20.0
 
 #: Callers whose requests are counted at once, 1 MB.  With more of them those
@@ -337,8 +337,7 @@
 
 #: Factors on the level of equal shares with each flow that is refused below
 #: it and with each that is offered.  It finds another level within about fifty
-#: refusals, and settles where one in ten below it is refused: so many always
-#: ask that no room is left unused.
+#: refusals, and settles where one in ten below it is refused.
 LEVEL_FALL: Final = 0.95
 LEVEL_RISE: Final = 1.005
 #: The first level, as a multiple of what callers got on the average: nobody
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ejection.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ejection.py
@@ -1,7 +1,7 @@
 """Which upstreams get no new flow because their agents ejected them.
 
-The agent beside an upstream sees all outcomes and decides; this balancer only
-takes its word, and bounds how many are left out of a service at once.
+The agent beside an upstream sees all outcomes and decides; this balancer
+follows its reports, and bounds how many are left out of a service at once.
 """
 
 from collections.abc import Container
@@ -13,8 +13,8 @@
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.state import (
     AgentView,
+    LeftOutDecision,
     PacketState,
-    SharesDecision,
 )
 
 __all__ = (
@@ -78,12 +78,12 @@
     if not any(view.upstream.service == service for view in out):
         return ()
     views = state.by_service.get(service, ())
-    if len(views) <= defaults.MANY_UPSTREAMS:
+    if len(views) <= defaults.MANY_FOR_LEFT_OUT:
         return out if _do_others_suffice(state, views, now) else ()
     known = state.ejections.decisions.get(service)
     if known is None or not known.is_valid(views, now):
         suffice = _do_others_suffice(state, views, now)
-        known = SharesDecision(views, now, do_others_suffice=suffice)
+        known = LeftOutDecision(views, now, do_others_suffice=suffice)
         state.ejections.decisions[service] = known
     return out if known.do_others_suffice else ()
 
@@ -104,7 +104,7 @@
         waited = now - since
         if not _may_try(state, view, now) or view.upstream.service != service:
             continue
-        if _is_patient(state, view, route, waited):
+        if _leaves_trial(state, view, route, waited):
             continue
         view.tried_at = now
         return view
@@ -151,7 +151,7 @@
     )
 
 
-def _is_patient(
+def _leaves_trial(
     state: PacketState,
     view: AgentView,
     route: PacketRoute,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -56,11 +56,12 @@
     """Return the agent that should take a new flow, or None.
 
     None in an availability zone that is out of service.  Agents that owe an
-    answer come last.  Among the others the one with the
-    least expected load wins, and one in another availability zone only when
-    the load here exceeds its own by REMOTE_LOAD.  Without any, upstreams
-    that still speak though their entry went are taken: all entries lapse
-    while the store is away, and come back.
+    answer come last.  With ``placement`` on, and upstreams or load uneven, the
+    one wins that is expected to answer first.  Otherwise the least expected
+    load wins, and an agent in another availability zone only when the load
+    here exceeds its own by REMOTE_LOAD.  Without any, upstreams that still
+    speak though their entry went are taken: all entries lapse while the store
+    is away, and come back.
     """
     service = choose_service(route, key)
     candidates = list_candidates(state, service, key, now, excluded)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -37,7 +37,7 @@
     'NodeView',
     'PacketState',
     'Search',
-    'SharesDecision',
+    'LeftOutDecision',
     'make_owners',
 )
 
@@ -334,7 +334,7 @@
         self.seed = int(now * _MICROSECONDS) % _SEEDS
 
 
-class SharesDecision(NamedTuple):
+class LeftOutDecision(NamedTuple):
     """Whether ejected upstreams of a large service are left out."""
 
     views: tuple[AgentView, ...]
@@ -345,7 +345,7 @@
     def is_valid(self, views: tuple[AgentView, ...], now: float) -> bool:
         """Return whether it still holds for these upstreams."""
         is_same = self.views is views
-        return is_same and now - self.at < defaults.SHARES_SECONDS
+        return is_same and now - self.at < defaults.LEFT_OUT_SECONDS
 
 
 class Ejections:
@@ -360,7 +360,7 @@
         #: Those among them that want to be tried, and since when.
         self.wanting: dict[AgentView, float] = {}
         #: By service; of large services with ejected upstreams.
-        self.decisions: dict[str, SharesDecision] = {}
+        self.decisions: dict[str, LeftOutDecision] = {}
 
 
 class PacketState:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -156,8 +156,8 @@
         'milliseconds': round((now - search.started) * 1000, 1),
         'revision': state.confirmed_revision,
     }
-    # A change may be heard of after the denials and still be older than the
-    # flow: the mark rises with each verdict that is sought.
+    # Taken anew at each attempt: a change that is heard of after the denials
+    # may still be older than the flow.
     search.needed_revision = state.latest_change if state.is_behind else 0
     if search.needed_revision > state.confirmed_revision:
         search.is_parked = True
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -119,7 +119,8 @@
     """One datagram between processes."""
 
     kind: int
-    #: How many agents were asked before this one.
+    #: How many agents were asked before this one; of HELLO and ASK the form of
+    #: reports that the sender reads.
     hop: int
     #: Requests that the upstream runs at once, as a balancer knows; else 0.
     slots: int
@@ -128,7 +129,8 @@
     #: Of a new flow: milliseconds until its answer would be late; below 0 it
     #: is late already.  Of an open flow: milliseconds within which an answer
     #: to a new request is in time; 0 if the balancer does not know, and then
-    #: its priority says nothing.
+    #: its priority says nothing.  Of MISS: milliseconds until there would be
+    #: room; 0 if that is not the reason.
     left_ms: int
     #: Stands for the service that the sender means.
     service_tag: int
--- a/packages/keelgap/src/keelgap/packets/features.py
+++ b/packages/keelgap/src/keelgap/packets/features.py
@@ -2,8 +2,7 @@
 
 Each can be set in the section ``features`` of both packet programs.  Left to
 ``auto``, what the operators of the platform agreed on for the deployment
-decides, as the platform's adapter reads it.  A decision that is off leaves
-all requests to be served as without it.
+decides, as the platform's adapter reads it.
 """
 
 from collections.abc import Set as AbstractSet
@@ -51,8 +50,9 @@
     scheduling: Choice = Choice.AUTO
     #: Place new flows where their answers are expected first.
     placement: Choice = Choice.AUTO
-    #: Refuse at once what cannot be served in time.  Off unless asked for:
-    #: of callers whose zone has less room than others, fewer are served.
+    #: Early refusal of what cannot be served in time: ``room`` of the agent,
+    #: ``admission`` of the balancer.  Off unless asked for: of callers whose
+    #: zone has less room than others, fewer are served.
     admission: Choice = Choice.OFF
 
 
