--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/defaults.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from keelgap.packets import trials
+
 __all__ = (
     'CEILING',
     'EJECTION_SCORE',
@@ -121,7 +123,7 @@
 
 #: Where no repeatable request comes for a trial within this, an ordinary one
 #: is taken.
-LAST_RESORT_SECONDS: Final = 3.0
+LAST_RESORT_SECONDS: Final = trials.LAST_RESORT_SECONDS
 
 #: A request of a trial that has no outcome after so long had a caller that
 #: left without a word; or after twice the time in which it would be found
@@ -130,7 +132,7 @@
 
 #: An opening packet that so many agents gave back is taken: if most
 #: upstreams fail, none is ejected.
-FORCED_HOP: Final = 3
+FORCED_HOP: Final = trials.FORCED_HOP
 
 #: Flows given up that are remembered, 300 octets each, and for how long: no
 #: request lasts longer, so callers repeat their packets for no longer.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from keelgap.catalog import defaults as catalog_defaults
-from keelgap.packets import openings
+from keelgap.packets import openings, trials
 
 __all__ = (
     'ANY_TRIAL_SECONDS',
@@ -299,7 +299,7 @@
 #: Agents of ejected upstreams take a new flow that was offered so often.  They
 #: are offered one with this count at once where nobody else is left, for
 #: callers of a service with fewer upstreams would be refused by all.
-FORCED_HOP: Final = 3
+FORCED_HOP: Final = trials.FORCED_HOP
 
 #: Pause between flows that this balancer sends to one ejected upstream: its
 #: agent takes few at once, and a flow given back costs its caller a way.
@@ -311,7 +311,7 @@
 
 #: Any request is sent after this, where none that can be repeated came; not
 #: before agents take it.
-ANY_TRIAL_SECONDS: Final = 3.0
+ANY_TRIAL_SECONDS: Final = trials.LAST_RESORT_SECONDS
 
 #: Routers take a balancer out after two misses, half a second apart; one more
 #: half second for packets on their way.
