--- a/tests/packets/test_ejection_oracle.py
+++ b/tests/packets/test_ejection_oracle.py
@@ -265,5 +265,5 @@
     def test_a_late_packet_of_a_flow_given_up_is_found(self) -> None:
         """The same, for requests that run after all."""
         patch = mock.patch.object(giving_up, '_forget', forget_given_up)
-        with patch, self.assertRaises(AssertionError):
+        with patch, self.assertRaisesRegex(AssertionError, 'after a reset'):
             run_machine(EjectingMachine, 400, STEPS, shrink=False)
