--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,13 @@
 from tempfile import mkdtemp
 from typing import Any, Final
 
-from tests.soak.faults import FAULTS, LATER_FAULTS, Fault, heal
+from tests.soak.faults import (
+    FAULTS,
+    LATER_FAULTS,
+    LOAD_FAULTS,
+    Fault,
+    heal,
+)
 from tests.soak.settings import CALM_SECONDS, FAULT_SECONDS
 from tests.soak.truth import Truth
 from tests.soak.world import World
@@ -25,6 +31,9 @@
 _START_SECONDS: Final = 3.0
 #: Seeds from here on have the faults of later contracts, too.
 FIRST_LATER_SEED: Final = 1000
+#: Seeds from here on have upstreams that fail requests, and programs that
+#: make the decisions of section ``features``.
+FIRST_LOAD_SEED: Final = 2000
 #: Out of service at the end; other zones have upstreams of each service.
 _LEFT_ZONE: Final = 'a'
 
@@ -64,12 +73,14 @@
 
 async def _run(seed: int, folder: Path, seconds: float) -> dict[str, Any]:
     random = Random(seed)
-    world = World(seed, folder)
+    has_load = seed >= FIRST_LOAD_SEED
+    world = World(seed, folder, has_features=has_load)
     async with AsyncExitStack() as stack:
         await world.start(stack)
         await asyncio.sleep(_START_SECONDS)
         has_later = seed >= FIRST_LATER_SEED
         faults = LATER_FAULTS if has_later else FAULTS
+        faults = LOAD_FAULTS if has_load else faults
         names = await _inject(world, random, seconds, faults)
         heal(world)
         world.truth.calm_since = time.monotonic()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from keelgap_platform.documents import UPSTREAM_PREFIX
 from tests.soak.world import World
 
-__all__ = ('FAULTS', 'LATER_FAULTS', 'Fault', 'heal')
+__all__ = ('FAULTS', 'LATER_FAULTS', 'LOAD_FAULTS', 'Fault', 'heal')
 
 Fault = Callable[[World, Random], Awaitable[None]]
 
@@ -225,6 +225,24 @@
 )
 
 
+async def _fail_requests(world: World, random: Random) -> None:
+    """Let an upstream reset the flows of most requests that it gets."""
+    upstream = random.choice(world.upstreams)
+    upstream.failing = random.choice((0.4, 1.0))
+    await asyncio.sleep(random.choice(_PAUSES))
+    upstream.failing = 0
+
+
+#: With what the decisions of section ``features`` are for.
+LOAD_FAULTS: Final[tuple[Fault, ...]] = (
+    *LATER_FAULTS,
+    _fail_requests,
+    _fail_requests,
+    _fail_requests,
+    _fail_requests,
+)
+
+
 def heal(world: World) -> None:
     """End all faults that are still under way."""
     world.mesh.heal()
@@ -235,6 +253,7 @@
     world.store.forgets = False
     for upstream in world.upstreams:
         upstream.reaches_store = True
+        upstream.failing = 0
         if not upstream.alive:
             upstream.start()
     for program in world.programs:
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -14,6 +14,7 @@
     'CONFIG_SECONDS',
     'DRAIN_SECONDS',
     'FAULT_SECONDS',
+    'FEATURES_INI',
     'ProgramPlace',
     'SETTLED_SECONDS',
     'STORE',
@@ -67,6 +68,13 @@
 service = {service}
 address = {host}:{app}
 """
+#: Decisions under hard load, which both programs are told to make.
+FEATURES_INI: Final = """
+[features]
+ejection = on
+scheduling = on
+placement = on
+"""
 
 _BALANCERS: Final = 5
 #: Service and availability zone of each upstream.
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -17,6 +17,7 @@
     BOUNCED,
     FIN,
     FORMAT,
+    RST,
     SYN,
     FlowName,
     make_packet,
@@ -72,6 +73,8 @@
         #: Whether the store takes this upstream's writes.
         self.reaches_store = True
         self.missed = 0
+        #: Share of the requests whose flow it resets instead of an answer.
+        self.failing: float = 0
         self.half_open: set[bytes] = set()
         #: Answers by flow and number of its request's first octet.
         self.answers: dict[tuple[bytes, int], bytes] = {}
@@ -190,6 +193,10 @@
     ) -> None:
         if self.upstream_id != started or not self.alive:
             return
+        if self.random.random() < self.failing:
+            self.truth.open_flows.pop(request[0], None)
+            self._reply(request[0], RST)
+            return
         request_id = data[FORMAT.header_length :].split(b'\r\n')[1]
         self.answers[request] = self._reply(
             request[0],
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -24,6 +24,7 @@
     AGENT_INI,
     BALANCER_INI,
     CALLERS,
+    FEATURES_INI,
     STORE,
     ProgramPlace,
     find_free_ports,
@@ -101,8 +102,15 @@
 class World:
     """Programs, proxies, upstreams, callers and the truth."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        *,
+        has_features: bool = False,
+    ) -> None:
         """Write settings into the folder; nothing runs yet."""
+        self.has_features = has_features
         self.random = Random(seed)
         self.folder = folder
         self.truth = Truth()
@@ -228,6 +236,8 @@
 
     def _write_settings(self, place: ProgramPlace, path: Path) -> None:
         template = AGENT_INI if place.service else BALANCER_INI
+        if self.has_features:
+            template += FEATURES_INI
         seeds = [
             f'{one.host}:{place.control}'
             for one in self.balancers[:3]
