--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -81,6 +81,7 @@
     'TIMER_SECONDS',
     'TRAVEL_SECONDS',
     'WARM_UP_SLOTS',
+    'UNLISTED_SECONDS',
     'YIELD_SECONDS',
     'YOUNG_REPORTS',
 )
@@ -207,6 +208,11 @@
 #: How long an upstream whose entry went is still asked for its flows.
 GONE_SECONDS: Final = catalog_defaults.ENTRY_RETURN_SECONDS
 
+#: How long an agent is asked for flows of a service for which the catalog does
+#: not list its host any more, or not yet.  Another balancer may still offer it
+#: flows until the change is in force there, the users' bound for that.
+UNLISTED_SECONDS: Final = 18.0
+
 #: What it costs to place a flow in another availability zone, as a share of
 #: an upstream's slots.
 REMOTE_LOAD: Final = 2.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -11,6 +11,7 @@
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.notices import tell_zones
 from keelgap_balancer.packets.state import AgentView, FormerRoute, PacketState
+from keelgap_balancer.packets.unlisted import note_displaced
 
 __all__ = ('change_catalog', 'forget_former_routes', 'forget_gone')
 
@@ -31,8 +32,10 @@
     state.latest_change = max(state.latest_change, catalog.latest_change)
     if state.informed_at is None:
         state.informed_at = now
+    by_host = state.by_host
     effects = _change_upstreams(state, catalog, now)
     _index(state)
+    note_displaced(state, by_host, now)
     return (
         *effects,
         *change_directories(state, now),
@@ -201,7 +204,7 @@
         by_service.setdefault(view.upstream.service, []).append(view)
     _forget_answers(state, by_host)
     state.by_host = by_host
-    state.unspoken.clear()
+    state.holders.unspoken.clear()
     state.greeting.near_agents = sum(map(state.is_near, by_host.values()))
     state.by_service = {
         service: tuple(views) for service, views in by_service.items()
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -55,6 +55,7 @@
     take_unknown_flow,
 )
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.unlisted import find_sender, forget_unlisted
 from keelgap_balancer.packets.verdicts import serves_route
 from keelgap_balancer.packets.waiting import (
     look_up_again,
@@ -134,13 +135,12 @@
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
     if event.envelope.kind == EnvelopeKind.REFUSED:
         return take_refused(state, event)
-    view = state.by_host.get(event.sender)
+    view, told = find_sender(state, event)
     if view is None:
-        return (Decided('drop_unknown_sender'),)
-    view.note_heard(event.now)
+        return told
     state.note_stamp(event.stamp)
     taken = _take_known(state, event, view)
-    return (*taken, *look_up_again(state, view.host, event.now))
+    return (*told, *taken, *look_up_again(state, view.host, event.now))
 
 
 def _take_known(
@@ -162,7 +162,11 @@
     event: EnvelopeArrived,
     view: AgentView,
 ) -> Effects:
-    view.report = unpack_report(event.envelope.content)
+    report = unpack_report(event.envelope.content)
+    if state.by_host.get(view.host) is not view:
+        # Of an upstream that gets no new flow from here.
+        return ()
+    view.report = report
     view.picks = 0
     view.reported_at = event.now
     return note_ejection(state, view, view.report, event.now)
@@ -210,6 +214,7 @@
         'flow': state.format.describe_key(key),
         'owner': view.upstream.upstream_id,
         'asked': search.questions,
+        'listed': state.by_host.get(view.host) is view,
     }
     searched = event.now - search.started
     service = view.upstream.service
@@ -294,6 +299,7 @@
     state.placing.spans.expire(now)
     given_up = expire_searches(state, now)
     forget_gone(state, now)
+    forget_unlisted(state, now)
     forget_ejections(state)
     forget_former_routes(state, now)
     kept = () if state.is_newly_informed(now) else resume_kept(state, now)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -27,6 +27,7 @@
 )
 from keelgap_balancer.packets.events import EnvelopeArrived
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.unlisted import find_agent
 from keelgap_balancer.packets.verdicts import (
     give_verdict,
     list_members,
@@ -192,7 +193,8 @@
     host: str,
     datagram: bytes,
 ) -> Effects:
-    view = state.by_host.get(host)
+    route = state.find_route(datagram)
+    view = None if route is None else find_agent(state, route, host)
     if view is None:
         return (Decided('search_agent_unknown'),)
     view.expect_answer(search.pending_since)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -251,6 +251,7 @@
             'ejected_upstreams': len(state.ejections.out),
             'upstreams_wanting_trial': len(state.ejections.wanting),
             'silent_agents': sum(view.is_quiet(now) for view in views),
+            'unlisted_agents': len(state.holders.unlisted),
             'known_flows': len(state.owners),
             'searches': len(state.searches),
             'parked_flows': len(state.parked),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -34,6 +34,7 @@
     'Ejections',
     'FormerRoute',
     'GreetingRound',
+    'Holders',
     'NodeView',
     'PacketState',
     'Search',
@@ -363,6 +364,20 @@
         self.decisions: dict[str, LeftOutDecision] = {}
 
 
+class Holders:
+    """Agents to ask for flows that neither catalog nor directory can deny."""
+
+    __slots__ = ('unlisted', 'unspoken')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        #: By host and service: those that the catalog does not list for it.
+        self.unlisted: dict[tuple[str, str], AgentView] = {}
+        #: Those for which directory nodes do not speak, by route, nodes and
+        #: number of denials.
+        self.unspoken: dict[tuple[Any, ...], tuple[AgentView, ...]] = {}
+
+
 class PacketState:
     """All that a packet balancer holds."""
 
@@ -398,8 +413,7 @@
         self.directories: dict[str, FlowDirectory] = {}
         #: By the directory node's host.
         self.nodes: dict[str, NodeView] = {}
-        #: For whom nodes do not speak; by route, nodes and number of denials.
-        self.unspoken: dict[tuple[Any, ...], tuple[AgentView, ...]] = {}
+        self.holders = Holders()
         #: Latest packet of each flow that came before the first catalog.
         self.parked: dict[bytes, bytes] = {}
         #: Revision up to which the catalog in force is complete.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -14,6 +14,7 @@
     SendReset,
 )
 from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.unlisted import find_agent, list_unlisted
 
 __all__ = (
     'give_verdict',
@@ -33,12 +34,13 @@
 
 
 def list_members(state: PacketState, route: PacketRoute) -> list[AgentView]:
-    """Return the agents of all services of a route."""
-    return [
+    """Return the agents that may serve a route, listed for it or not."""
+    listed = [
         view
         for share in route.shares
         for view in state.by_service.get(share.service, ())
     ]
+    return [*listed, *list_unlisted(state, route)]
 
 
 def list_nodes(
@@ -67,13 +69,7 @@
     route = state.find_route(search.latest)
     if route is None:
         return []
-    services = {share.service for share in route.shares}
-    views = {host: state.by_host.get(host) for host in hosts}
-    return [
-        host
-        for host, view in views.items()
-        if view is None or view.upstream.service not in services
-    ]
+    return [host for host in hosts if find_agent(state, route, host) is None]
 
 
 def list_undenied(
@@ -89,7 +85,7 @@
     """
     speaking = tuple(host for host in nodes if _speaks(state, search, host))
     unspoken = _list_unspoken(state, route, speaking, denials)
-    unsure = dict.fromkeys((*unspoken, *_list_named(state, search)))
+    unsure = dict.fromkeys((*unspoken, *_list_named(state, route, search)))
     return [view for view in unsure if view.host not in search.missed]
 
 
@@ -99,9 +95,13 @@
     return node is not None and search.denied.get(host) == node.digest
 
 
-def _list_named(state: PacketState, search: Search) -> list[AgentView]:
+def _list_named(
+    state: PacketState,
+    route: PacketRoute,
+    search: Search,
+) -> list[AgentView]:
     """Return the agents that were named: they alone can deny the flow."""
-    views = (state.by_host.get(host) for host in search.named)
+    views = (find_agent(state, route, host) for host in search.named)
     return [view for view in views if view is not None]
 
 
@@ -118,7 +118,7 @@
     """
     digests = tuple((host, state.nodes[host].digest) for host in speaking)
     key = (route.shares, digests, denials)
-    known = state.unspoken.get(key)
+    known = state.holders.unspoken.get(key)
     if known is None:
         covered = [state.nodes[host].covered for host in speaking]
         known = tuple(
@@ -126,9 +126,9 @@
             for view in list_members(state, route)
             if sum(view.host in hosts for hosts in covered) < denials
         )
-        if len(state.unspoken) >= defaults.MAX_UNSPOKEN:
-            state.unspoken.clear()
-        state.unspoken[key] = known
+        if len(state.holders.unspoken) >= defaults.MAX_UNSPOKEN:
+            state.holders.unspoken.clear()
+        state.holders.unspoken[key] = known
     return known
 
 
--- /dev/null
+++ b/tests/packets/test_unlisted.py
@@ -0,0 +1,195 @@
+"""Flows at upstreams on hosts that are listed for another service."""
+
+from typing import Any
+from unittest import TestCase
+
+from keelgap.packets.envelopes import (
+    NO_STAMP,
+    Envelope,
+    EnvelopeKind,
+    LoadReport,
+    compute_service_tag,
+    pack_report,
+)
+from keelgap_balancer.packets import defaults
+from keelgap_balancer.packets.effects import Decided, SendReset
+from keelgap_balancer.packets.events import EnvelopeArrived, TimerFired
+from tests.packets.building import ACK, make_catalog, make_packet, make_upstream
+from tests.packets.machine import BALANCERS, PacketMachine
+from tests.packets.test_balancer import FLOW, BalancerTestCase
+from tests.packets.test_ejection_oracle import EjectingMachine
+
+BUSY = LoadReport(5, 5, 5, closed=False)
+FIRST, SECOND = BALANCERS
+HOST = '10.0.0.1'
+OTHERS = ('10.0.0.2', '10.0.0.3')
+
+
+class FirstChoice:
+    """Draw the first of what a random session could draw."""
+
+    def draw(self, strategy: Any) -> Any:
+        """Return the first element."""
+        return strategy.elements[0]
+
+
+class ReusedAddressSessionTests(TestCase):
+    """The steps of random sessions that failed, at their shortest.
+
+    Each guards against the reset of a flow that lives at an upstream which no
+    balancer has read of.  Another balancer, which is behind, lists an earlier
+    upstream of the same service there, and opened it.
+    """
+
+    def test_flow_of_a_service_that_came_back_to_its_host(self) -> None:
+        """Host 1 served the board, then proofs, then the board again."""
+        world = EjectingMachine()
+        world.start()
+        world.change_service(number=1)
+        world.change_service(number=1)
+        # Here the flow was reset.
+        world.open_twice()
+
+    def test_the_same_after_other_flows_opened_twice(self) -> None:
+        """On the other host of the board."""
+        world = EjectingMachine()
+        world.start()
+        world.open_twice()
+        world.open_twice()
+        world.change_service(number=3)
+        world.change_service(number=3)
+        world.open_twice()
+
+    def test_the_same_beside_an_upstream_ejected_for_good(self) -> None:
+        """The flow waits at the ejected upstream as well."""
+        world = EjectingMachine()
+        world.start()
+        world.change_service(number=3)
+        world.change_service(number=3)
+        world.eject_with_waiting(number=1, service='board')
+        world.open_twice()
+
+    def test_the_same_at_a_host_of_the_other_service(self) -> None:
+        """It came to the board, left it and came back."""
+        world = EjectingMachine()
+        world.start()
+        world.change_service(number=2)
+        world.eject_with_waiting(number=1, service='board')
+        world.find_again(data=FirstChoice(), host=FIRST)
+        world.change_service(number=2)
+        world.change_service(number=2)
+        world.open_twice()
+
+    def test_no_ejection_is_needed(self) -> None:
+        """The routers move the flow to a balancer that is less behind."""
+        world = PacketMachine()
+        world.start()
+        world.change_service(number=1)
+        world.change_service(number=1)
+        for _ in range(8):
+            world.open(service='board', host=FIRST, copies=0)
+            world.deliver_all()
+        held = [world._find_holders(key) for key in self._speak(world, FIRST)]
+        self.assertIn([HOST], held)
+        self._speak(world, SECOND)
+
+    def _speak(self, world: PacketMachine, host: str) -> list[bytes]:
+        """Send data on each accepted flow; return the flows."""
+        keys = sorted(world.flows.keys() & world.accepted)
+        for key in keys:
+            request = make_packet(world.flows[key], ACK, data=b'GET')
+            world._send(host, request)  # noqa: SLF001
+            world.deliver_all()
+        return keys
+
+
+class UnlistedAgentTests(BalancerTestCase):
+    """Agents that the catalog lists for another service."""
+
+    def reuse(self) -> None:
+        """List the first host of the board for proofs."""
+        reused = make_upstream(1, 'proof', generation=1)
+        self.change(make_catalog(2, [*self.boards[1:], self.proof, reused]))
+
+    def say(
+        self,
+        host: str,
+        service: str,
+        kind: EnvelopeKind = EnvelopeKind.MISS,
+        content: bytes = b'',
+    ) -> list[Any]:
+        """Let an agent that serves a service send an envelope."""
+        tag = compute_service_tag(service)
+        envelope = Envelope(kind, 0, 0, 0, 0, tag, content)
+        return self.take(EnvelopeArrived(self.now, host, envelope, NO_STAMP))
+
+    def deny_at_others(self) -> list[Any]:
+        """Let a caller speak on a flow that the listed agents deny."""
+        packet = make_packet(FLOW, ACK, data=b'GET')
+        (asked,) = self.send(ACK, data=b'GET')
+        for _ in OTHERS:
+            effects = self.say(asked.host, 'board', content=packet)
+            sent = [one for one in effects if not isinstance(one, Decided)]
+            asked = sent[0]
+        return sent
+
+    def test_host_that_served_the_service_is_asked(self) -> None:
+        """With the tag of that service, which its agent compares."""
+        self.reuse()
+        (asked,) = self.deny_at_others()
+        self.assertEqual(asked.host, HOST)
+        self.assertEqual(asked.envelope.kind, EnvelopeKind.SEARCH)
+        tag = compute_service_tag('board')
+        self.assertEqual(asked.envelope.service_tag, tag)
+
+    def test_its_denial_is_enough(self) -> None:
+        """It serves the service that it is listed for."""
+        self.reuse()
+        self.deny_at_others()
+        packet = make_packet(FLOW, ACK, data=b'GET')
+        effects = self.say(HOST, 'proof', content=packet)
+        self.assertIn(SendReset(packet), effects)
+
+    def test_it_keeps_the_flow_that_it_owns(self) -> None:
+        """Later packets go there with the same tag."""
+        self.reuse()
+        self.deny_at_others()
+        self.say(HOST, 'board', EnvelopeKind.OWNED, FLOW.key)
+        (passed,) = self.send(ACK, data=b'more')
+        self.assertEqual(passed.host, HOST)
+        self.assertEqual(passed.envelope.kind, EnvelopeKind.FORWARD)
+        tag = compute_service_tag('board')
+        self.assertEqual(passed.envelope.service_tag, tag)
+
+    def test_silence_is_no_denial_there_either(self) -> None:
+        """A caller whose flow may live is told nothing."""
+        self.reuse()
+        self.deny_at_others()
+        self.now += defaults.SEARCH_STEP_SECONDS * 2
+        effects = self.take(TimerFired(self.now))
+        self.assertFalse(
+            [one for one in effects if isinstance(one, SendReset)],
+        )
+
+    def test_it_is_forgotten_when_no_balancer_offers_flows_there(self) -> None:
+        """A change is in force everywhere by then."""
+        self.reuse()
+        self.now += defaults.UNLISTED_SECONDS + 1
+        self.take(TimerFired(self.now))
+        self.assertFalse(self.state.holders.unlisted)
+        (reset,) = self.deny_at_others()
+        self.assertIsInstance(reset, SendReset)
+
+    def test_it_takes_no_new_flow(self) -> None:
+        """Its upstream has no entry that says what it bears."""
+        self.reuse()
+        for port in range(20):
+            (offer,) = self.send(2, FLOW._replace(port=port + 1))
+            self.assertIn(offer.host, OTHERS)
+
+    def test_its_report_is_not_that_of_the_listed_upstream(self) -> None:
+        """The load of a board says nothing of proofs."""
+        self.reuse()
+        before = self.state.by_host[HOST].report
+        self.say(HOST, 'board', EnvelopeKind.REPORT, pack_report(BUSY))
+        self.assertEqual(self.state.by_host[HOST].report, before)
