--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted.py
@@ -2,13 +2,15 @@
 
 Addresses are used again, and balancers learn of that at different times.  One
 that is behind may open flows at an upstream that no balancer has read of yet,
-on a host that the catalog in force here lists for another service.  What tells
-of such an agent is that its host was listed for the service a moment ago.
+on a host that the catalog in force here lists for another service.  Two things
+tell of such an agent: its host was listed for the service a moment ago, or its
+own envelopes name the service.
 """
 
 from collections.abc import Mapping
 
 from keelgap.catalog.models import PacketRoute
+from keelgap.packets.envelopes import compute_service_tag
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.events import EnvelopeArrived
@@ -109,7 +111,43 @@
     for heard in views:
         heard.note_heard(event.now)
     named = [view for view in views if view.service_tag == tag]
-    return next(iter(named), views[0]), ()
+    if named or listed is None:
+        return next(iter(named), views[0]), ()
+    return _take_at_its_word(state, listed, event)
+
+
+def _take_at_its_word(
+    state: PacketState,
+    listed: AgentView,
+    event: EnvelopeArrived,
+) -> tuple[AgentView, Effects]:
+    """Keep an agent for the service that it names, if a route leads there."""
+    service = _find_service(state, event.envelope.service_tag)
+    if service is None:
+        return listed, ()
+    row = listed.upstream._replace(service=service)
+    view = _keep(state, AgentView(row, event.now), event.now)
+    view.note_heard(event.now)
+    fields = {
+        'host': listed.host,
+        'serves': service,
+        'listed_for': listed.upstream.service,
+        'revision': state.confirmed_revision,
+    }
+    return view, (Decided('agent_of_unlisted_service', fields),)
+
+
+def _find_service(state: PacketState, tag: int) -> str | None:
+    """Return the service that a tag stands for, if a route leads there."""
+    services = (
+        share.service
+        for route in state.routes.values()
+        for share in route.shares
+    )
+    return next(
+        (one for one in services if compute_service_tag(one) == tag),
+        None,
+    )
 
 
 def forget_unlisted(state: PacketState, now: float) -> None:
--- a/tests/packets/test_unlisted.py
+++ b/tests/packets/test_unlisted.py
@@ -161,6 +161,22 @@
         tag = compute_service_tag('board')
         self.assertEqual(passed.envelope.service_tag, tag)
 
+    def test_its_word_counts_whatever_was_listed(self) -> None:
+        """This process never read of an upstream of the board there."""
+        effects = self.say('10.0.0.9', 'board')
+        told = [one for one in effects if isinstance(one, Decided)]
+        self.assertEqual(told[0].name, 'agent_of_unlisted_service')
+        packet = make_packet(FLOW, ACK, data=b'GET')
+        asked = set()
+        (question,) = self.send(ACK, data=b'GET')
+        for _ in range(3):
+            asked.add(question.host)
+            effects = self.say(question.host, 'board', content=packet)
+            question = next(
+                one for one in effects if not isinstance(one, Decided)
+            )
+        self.assertEqual(asked | {question.host}, {HOST, *OTHERS, '10.0.0.9'})
+
     def test_silence_is_no_denial_there_either(self) -> None:
         """A caller whose flow may live is told nothing."""
         self.reuse()
