--- a/packages/keelgap-agent/src/keelgap_agent/packets/directory_state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/directory_state.py
@@ -17,10 +17,11 @@
 
     __slots__ = (
         'asked_at',
+        'began',
         'boot',
-        'doubted_until',
         'end',
         'expected',
+        'former_tag',
         'heard_at',
         'is_complete',
         'lagging_since',
@@ -34,8 +35,10 @@
         self.boot = registration.boot
         self.upstream_tag = registration.upstream_tag
         self.is_complete = False
-        #: Until when another agent may have passed flows to the upstream.
-        self.doubted_until = float('-inf')
+        self.began = now
+        #: Upstream of the agent that was here before; 0 if that never knew,
+        #: None if there was no other.
+        self.former_tag: int | None = None
         self.heard_at = now
         self.asked_at = float('-inf')
         self.stream = registration.stream
@@ -80,9 +83,22 @@
 
     def is_covered(self, now: float) -> bool:
         """Return whether all flows of its upstream are known here."""
-        is_trusted = self.is_complete and now >= self.doubted_until
+        is_trusted = self.is_complete and not self._is_doubted(now)
         return self.is_in_step and is_trusted and self.is_fresh(now)
 
+    def _is_doubted(self, now: float) -> bool:
+        """Return whether another agent may have passed flows to the upstream.
+
+        It did if it was here before, beside the same upstream.  Either may not
+        have been told yet which one that is.
+        """
+        if self.former_tag is None:
+            return False
+        if now - self.began >= defaults.FLOW_LIFE_SECONDS:
+            return False
+        is_unknown = 0 in {self.former_tag, self.upstream_tag}
+        return is_unknown or self.former_tag == self.upstream_tag
+
 
 class Directory:
     """What other agents registered with this one."""
@@ -111,7 +127,7 @@
         if member is None or member.boot != registration.boot:
             later = Member(registration, now)
             if member is not None:
-                later.doubted_until = _find_doubt(member, later, now)
+                later.former_tag = member.upstream_tag or member.former_tag or 0
             member = later
             self.members[host] = member
         member.take(registration, now)
@@ -180,13 +196,3 @@
         if host not in hosts:
             hosts = (*hosts, host)
         self.holders.put(key, hosts)
-
-
-def _find_doubt(former: Member, later: Member, now: float) -> float:
-    """Return until when an agent may not know all flows of its upstream.
-
-    An agent that was here before passed flows to the same upstream.
-    """
-    if former.upstream_tag == later.upstream_tag:
-        return now + defaults.FLOW_LIFE_SECONDS
-    return float('-inf')
--- a/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
@@ -30,6 +30,9 @@
     if not event.envelope.content:
         return ()
     notice = unpack_notice(event.envelope.content)
+    if event.envelope.service_tag != state.service_tag:
+        # Of a former upstream of another service on this host.
+        return _change_zone(state, notice, event.sender)
     was_complete = state.registrar.is_complete
     tag = state.registrar.upstream_tag
     note_upstream(state, notice)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
@@ -18,8 +18,15 @@
 
 
 def make_notice(state: PacketState, view: AgentView, now: float) -> bytes:
-    """Return what an agent should know of its upstream and its service."""
+    """Return what an agent should know of its upstream and its service.
+
+    Not which start it is, if this process is behind and another may have taken
+    its place: the agent would take the later one for a start that it saw.  A
+    young one is told all the same, for many start together with their agents.
+    """
     upstream = view.upstream
+    is_young = now < view.young_until
+    is_sure = is_young or not state.is_behind
     directory = state.directories.get(upstream.service, NO_DIRECTORY)
     services = state.catalog.routes.services
     limits = services.get(upstream.service, _NO_LIMITS)
@@ -28,9 +35,9 @@
         UpstreamNotice(
             revision=state.catalog.revision,
             shards=directory.shards,
-            upstream_tag=view.seed,
-            upstream_revision=upstream.revision,
-            is_young=now < view.young_until,
+            upstream_tag=view.seed if is_sure else 0,
+            upstream_revision=upstream.revision if is_sure else 0,
+            is_young=is_young,
             is_evacuated=state.is_evacuated(view),
             warm_up_ms=round(warm_up * _MILLISECONDS),
             cold_per_second=limits.cold_per_second,
--- a/packages/keelgap/src/keelgap/packets/notices.py
+++ b/packages/keelgap/src/keelgap/packets/notices.py
@@ -29,7 +29,7 @@
     #: Hosts of the agents that keep each shard of the service's directory;
     #: none where the service needs no directory.
     shards: tuple[tuple[str, ...], ...] = ()
-    #: Stands for this start of the upstream.
+    #: Stands for this start of the upstream; 0 if the sender is not sure.
     upstream_tag: int = 0
     #: Revision of that upstream's entry; the later of two notices counts.
     upstream_revision: int = 0
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -355,6 +355,23 @@
         self.register(boot=3, upstream_tag=8)
         self.assertEqual(self.list_covered(), {OWN})
 
+    def test_second_agent_is_doubted_until_its_upstream_is_known(self) -> None:
+        """Balancers that are behind do not tell it."""
+        self.register()
+        self.register(boot=2, upstream_tag=0)
+        self.assertEqual(self.list_covered(), frozenset())
+        self.register(boot=2, upstream_tag=7, stream=2)
+        self.assertEqual(self.list_covered(), frozenset())
+        self.register(boot=2, upstream_tag=8, stream=3)
+        self.assertEqual(self.list_covered(), {OWN})
+
+    def test_third_agent_is_doubted_if_the_second_never_knew(self) -> None:
+        """The first one passed flows to the same upstream."""
+        self.register()
+        self.register(boot=2, upstream_tag=0)
+        self.register(boot=3)
+        self.assertEqual(self.list_covered(), frozenset())
+
     def test_both_holders_of_a_copied_opening_are_named(self) -> None:
         """Its caller chose one of them, and only that one knows."""
         self.register()
