--- a/tests/packets/test_unlisted.py
+++ b/tests/packets/test_unlisted.py
@@ -22,6 +22,7 @@
     make_upstream,
 )
 from tests.packets.machine import BALANCERS, PacketMachine
+from tests.packets.starts_machine import StartsMachine
 from tests.packets.test_balancer import FLOW, BalancerTestCase
 from tests.packets.test_ejection_oracle import EjectingMachine
 
@@ -39,6 +40,16 @@
         return strategy.elements[0]
 
 
+def speak_on_all(world: PacketMachine, host: str) -> list[bytes]:
+    """Send data on each accepted flow; return the flows."""
+    keys = sorted(world.flows.keys() & world.accepted)
+    for key in keys:
+        request = make_packet(world.flows[key], ACK, data=b'GET')
+        world._send(host, request)  # noqa: SLF001
+        world.deliver_all()
+    return keys
+
+
 class ReusedAddressSessionTests(TestCase):
     """The steps of random sessions that failed, at their shortest.
 
@@ -95,18 +106,9 @@
         for _ in range(8):
             world.open(service='board', host=FIRST, copies=0)
             world.deliver_all()
-        held = [world._find_holders(key) for key in self._speak(world, FIRST)]
-        self.assertIn([HOST], held)
-        self._speak(world, SECOND)
-
-    def _speak(self, world: PacketMachine, host: str) -> list[bytes]:
-        """Send data on each accepted flow; return the flows."""
-        keys = sorted(world.flows.keys() & world.accepted)
-        for key in keys:
-            request = make_packet(world.flows[key], ACK, data=b'GET')
-            world._send(host, request)  # noqa: SLF001
-            world.deliver_all()
-        return keys
+        keys = speak_on_all(world, FIRST)
+        self.assertIn([HOST], [world._find_holders(key) for key in keys])
+        speak_on_all(world, SECOND)
 
 
 class UnlistedAgentTests(BalancerTestCase):
@@ -290,3 +292,27 @@
         """Let the timer fire; return the resets."""
         effects = self.take(TimerFired(self.now))
         return [one for one in effects if isinstance(one, SendReset)]
+
+
+class StartedMeanwhileTests(TestCase):
+    """A balancer that has no memory of what a host served."""
+
+    def test_flow_at_a_host_that_changed_back_is_not_reset(self) -> None:
+        """Found by sessions that mix all machines' rules.
+
+        The host changes its service and back before any agent speaks again,
+        and the other balancer is behind by both changes.
+        """
+        world = StartsMachine()
+        world.start()
+        world.swap_ids(number=1, other=2)
+        world.restart_balancer(host=SECOND)
+        world.deliver_all()
+        world.swap_ids(number=1, other=2)
+        for _ in range(4):
+            world.open(service='board', host=FIRST, copies=0)
+            world.deliver_all()
+        keys = speak_on_all(world, FIRST)
+        self.assertIn([HOST], [world._find_holders(key) for key in keys])
+        # Here the flow is reset.
+        speak_on_all(world, SECOND)
