--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/admission.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/admission.py
@@ -6,8 +6,10 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.ages import get_host
 from keelgap_balancer.packets.placement import choose_service
+from keelgap_balancer.packets.searches import Search
 from keelgap_balancer.packets.shares import Queue
-from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = (
     'Excess',
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/directories.py
@@ -25,7 +25,8 @@
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.events import EnvelopeArrived
 from keelgap_balancer.packets.notices import make_notice
-from keelgap_balancer.packets.state import AgentView, NodeView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView, NodeView
 
 __all__ = (
     'ask_waiting',
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/ejection.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/ejection.py
@@ -11,11 +11,8 @@
 from keelgap.packets.envelopes import EnvelopeKind, LoadReport
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import Decided, PacketEffect
-from keelgap_balancer.packets.state import (
-    AgentView,
-    LeftOutDecision,
-    PacketState,
-)
+from keelgap_balancer.packets.state import LeftOutDecision, PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = (
     'choose_kind',
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/forwards.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/forwards.py
@@ -4,7 +4,8 @@
 
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap_balancer.packets.effects import SendToAgent
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('forward',)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/giving_up.py
@@ -4,7 +4,8 @@
 from keelgap.runtime.lines import MAX_NAMED
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import Decided, PacketEffect
-from keelgap_balancer.packets.state import PacketState, Search
+from keelgap_balancer.packets.searches import Search
+from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.verdicts import list_nodes, list_undenied
 
 __all__ = ('expire_searches',)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/greeting.py
@@ -14,7 +14,8 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.notices import make_notice
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('greet_agents',)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -10,8 +10,9 @@
 from keelgap_balancer.packets.directories import change_directories
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.notices import tell_zones
-from keelgap_balancer.packets.state import AgentView, FormerRoute, PacketState
+from keelgap_balancer.packets.state import FormerRoute, PacketState
 from keelgap_balancer.packets.unlisted import note_displaced
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('change_catalog', 'forget_former_routes', 'forget_gone')
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
@@ -8,7 +8,8 @@
 from keelgap.packets.notices import UpstreamNotice, pack_notice
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('make_notice', 'tell_zones')
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -22,7 +22,9 @@
 from keelgap_balancer.packets.placement import choose_service, choose_taker
 from keelgap_balancer.packets.placing.notes import note_placement
 from keelgap_balancer.packets.refusals import note_refusal
-from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.searches import Search
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('Opening', 'open_flow', 'place_elsewhere')
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placement.py
@@ -13,7 +13,8 @@
     choose_first_to_answer,
     measure_service,
 )
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('choose_service', 'choose_taker')
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/candidates.py
@@ -9,7 +9,8 @@
 from keelgap_balancer.packets.ejection import find_left_out
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.memory import Order
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('list_candidates',)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/delays.py
@@ -15,7 +15,8 @@
 from keelgap_balancer.packets.defaults import WARM_UP_SLOTS
 from keelgap_balancer.packets.placing import defaults
 from keelgap_balancer.packets.placing.memory import Waits
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('choose_first_to_answer', 'measure_service')
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/notes.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/placing/notes.py
@@ -2,7 +2,8 @@
 
 from keelgap.catalog.models import PacketRoute
 from keelgap_balancer.packets.effects import Decided, PacketEffect
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = ('note_placement',)
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -54,9 +54,11 @@
     take_found,
     take_unknown_flow,
 )
-from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.searches import Search
+from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted import find_sender, forget_unlisted
 from keelgap_balancer.packets.verdicts import serves_route
+from keelgap_balancer.packets.views import AgentView
 from keelgap_balancer.packets.waiting import (
     look_up_again,
     resume_kept,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -26,7 +26,8 @@
     PacketEffect,
 )
 from keelgap_balancer.packets.events import EnvelopeArrived
-from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.searches import Search
+from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted import find_agent
 from keelgap_balancer.packets.verdicts import (
     give_verdict,
@@ -35,6 +36,7 @@
     list_strangers,
     list_undenied,
 )
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = (
     'continue_search',
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted.py
@@ -14,7 +14,8 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.events import EnvelopeArrived
-from keelgap_balancer.packets.state import AgentView, PacketState
+from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = (
     'find_agent',
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -13,8 +13,10 @@
     PacketEffect,
     SendReset,
 )
-from keelgap_balancer.packets.state import AgentView, PacketState, Search
+from keelgap_balancer.packets.searches import Search
+from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted import find_agent, list_unlisted
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = (
     'give_verdict',
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/waiting.py
@@ -10,7 +10,8 @@
 from keelgap_balancer.packets.directories import ask_waiting
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.search import go_on
-from keelgap_balancer.packets.state import PacketState, Search
+from keelgap_balancer.packets.searches import Search
+from keelgap_balancer.packets.state import PacketState
 
 __all__ = ('look_up_again', 'resume_kept', 'resume_parked')
 
