--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -245,6 +245,7 @@
     }
     for search in state.searches.values():
         search.missed -= changed
+        search.gave_back -= changed
         search.asked = [host for host in search.asked if host not in changed]
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/openings.py
@@ -176,7 +176,7 @@
         opening.route,
         opening.key,
         opening.now,
-        search.missed - search.ejected,
+        search.gave_back - search.ejected,
     )
     if taker is not None:
         search.ejected.discard(taker.host)
@@ -251,13 +251,13 @@
 ) -> Effects:
     """Offer a flow that its first choice did not take to the next."""
     search = state.searches.setdefault(opening.key, Search(opening.now))
-    search.missed.add(view.host)
+    search.gave_back.add(view.host)
     if opening.hop <= defaults.FORCED_HOP and view in state.ejections.out:
         search.ejected.add(view.host)
     search.lacks_time += bool(opening.room_ms)
     if state.features.admission and opening.room_ms:
         return _place_or_refuse(state, opening, search)
-    return _place(state, opening, tuple(search.missed))
+    return _place(state, opening, tuple(search.gave_back))
 
 
 def _place_or_refuse(
@@ -269,9 +269,9 @@
     key = opening.key
     route = opening.route
     full = list_full(state, route, key, opening.now)
-    excluded = tuple(search.missed)
+    excluded = tuple(search.gave_back)
     if has_asked_enough(search):
-        excluded = tuple(full | search.missed)
+        excluded = tuple(full | search.gave_back)
     taker = choose_taker(state, route, key, opening.now, excluded)
     if taker is not None and opening.hop < defaults.MAX_ASKED_FOR_ROOM:
         return _place(state, opening, excluded)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -87,7 +87,7 @@
 ) -> Effects:
     """Ask the next agent, or come to a verdict."""
     search = state.searches[key]
-    search.latest = datagram
+    search.keep_packet(datagram, now)
     for named in search.named:
         if named not in search.missed and named not in search.asked:
             return _ask_next(state, search, named, now)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/searches.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/searches.py
@@ -12,6 +12,7 @@
         'asked',
         'denied',
         'ejected',
+        'gave_back',
         'heard',
         'is_parked',
         'kept_since',
@@ -53,8 +54,11 @@
         self.may_lack_entries = False
         #: Hosts asked, in order.
         self.asked: list[str] = []
-        #: Hosts that said no.
+        #: Hosts that denied the open flow.
         self.missed: set[str] = set()
+        #: Hosts that did not take the opening packet; they may have taken a
+        #: copy of it since, and hold the flow.
+        self.gave_back: set[str] = set()
         #: How many hosts said no because of a new flow's time.
         self.lacks_time = 0
         #: Hosts among them that may take a new flow if nobody else does.
@@ -94,9 +98,20 @@
 
     def take_packet(self, datagram: bytes, now: float) -> None:
         """Go on with a later packet of the flow."""
-        self.latest = datagram
+        self.keep_packet(datagram, now)
         self.heard = now
 
+    def keep_packet(self, datagram: bytes, now: float) -> None:
+        """Ask with this packet from now on.
+
+        The search for an owner begins with the first one of the open flow, not
+        with the search for a taker.
+        """
+        if not self.latest:
+            self.started = now
+            self.renewed = now
+        self.latest = datagram
+
     @property
     def is_waiting(self) -> bool:
         """Return whether nobody is to be asked before something changes."""
