--- a/experiments/packet_slopes.py
+++ b/experiments/packet_slopes.py
@@ -27,7 +27,8 @@
 from keelgap.packets.envelopes import LoadReport
 from keelgap.packets.features import Features
 from keelgap.packets.formats import PacketFormat
-from keelgap_agent.packets.state import AgentState, Flow
+from keelgap_agent.packets.flows import Flow
+from keelgap_agent.packets.state import AgentState
 from keelgap_balancer.packets import reducer
 from keelgap_balancer.packets.effects import SendReset, SendToAgent
 from keelgap_balancer.packets.events import (
--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -27,6 +27,7 @@
     Decided,
 )
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.flows import Flow, Held
 from keelgap_agent.packets.notices import ask_for_notice
 from keelgap_agent.packets.outcomes.giving_up import give_up_ready
 from keelgap_agent.packets.outcomes.judging import note_opening, note_work
@@ -45,7 +46,7 @@
     observe_wait,
 )
 from keelgap_agent.packets.scheduling.terms import read_opening
-from keelgap_agent.packets.state import AgentState, Flow, Held
+from keelgap_agent.packets.state import AgentState
 
 __all__ = (
     'release_all',
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/acknowledging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/acknowledging.py
@@ -6,7 +6,8 @@
 
 from typing import Final
 
-from keelgap_agent.packets.state import AgentState, Flow
+from keelgap_agent.packets.flows import Flow
+from keelgap_agent.packets.state import AgentState
 
 __all__ = ('acknowledges_upstream', 'is_next')
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/outcomes/judging.py
@@ -5,6 +5,7 @@
 from keelgap.packets.formats import Flags
 from keelgap_agent.packets.effects import AgentEffect
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.flows import Flow
 from keelgap_agent.packets.outcomes import defaults
 from keelgap_agent.packets.outcomes.acknowledging import (
     acknowledges_upstream,
@@ -14,7 +15,7 @@
 from keelgap_agent.packets.outcomes.score import Outcome
 from keelgap_agent.packets.outcomes.state import Work
 from keelgap_agent.packets.outcomes.verdicts import note_outcome
-from keelgap_agent.packets.state import AgentState, Flow
+from keelgap_agent.packets.state import AgentState
 
 __all__ = (
     'judge_answer',
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -35,6 +35,7 @@
     TimerFired,
     UpstreamPacket,
 )
+from keelgap_agent.packets.flows import Flow
 from keelgap_agent.packets.notices import take_notice
 from keelgap_agent.packets.outcomes.giving_up import (
     answer_given_up,
@@ -65,7 +66,7 @@
     settle_bounce,
     take_more,
 )
-from keelgap_agent.packets.state import AgentState, Flow
+from keelgap_agent.packets.state import AgentState
 
 __all__ = ('reduce',)
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/refusals.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/refusals.py
@@ -2,8 +2,9 @@
 
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.flows import Held
 from keelgap_agent.packets.room import NO_TIME, lacks_time
-from keelgap_agent.packets.state import AgentState, Held
+from keelgap_agent.packets.state import AgentState
 
 __all__ = ('find_refusal',)
 
--- /dev/null
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
@@ -0,0 +1,50 @@
+"""What an agent keeps of its registrations with the flow directory."""
+
+from typing import Final
+
+from keelgap.packets.directory import NO_DIRECTORY
+
+__all__ = ('Registrar', 'Stream')
+
+_MILLISECONDS: Final = 1000
+#: Numbers of starts begin anew after so many milliseconds, some weeks.
+_BOOTS: Final = 0x100000000
+
+
+class Stream:
+    """Registrations that one directory node is sent."""
+
+    __slots__ = ('began', 'end', 'number', 'sent_at')
+
+    def __init__(self, number: int, now: float) -> None:
+        """Start before the first registration."""
+        self.number = number
+        self.began = now
+        self.sent_at = now
+        #: Flows registered in this stream so far.
+        self.end = 0
+
+
+class Registrar:
+    """What this agent tells the directory of its service."""
+
+    def __init__(self, own: str, now: float) -> None:
+        """Start without a directory."""
+        #: Host of this agent; without one it takes part in no directory.
+        self.own = own
+        self.began = now
+        #: Stands for this start of the process, for some weeks.
+        self.boot = int(now * _MILLISECONDS) % _BOOTS
+        self.directory = NO_DIRECTORY
+        #: Whether a balancer ever greeted this process.
+        self.is_greeted = False
+        #: When one was asked to.
+        self.asked_at = float('-inf')
+        #: Towards each node, by host.
+        self.streams: dict[str, Stream] = {}
+        self.stream_number = 0
+        #: Stands for the upstream's id; 0 until a balancer tells.
+        self.upstream_tag = 0
+        self.upstream_revision = 0
+        #: Whether this process has seen each flow that the upstream holds.
+        self.is_complete = False
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
@@ -20,7 +20,9 @@
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import AgentEffect, SendToPeer
 from keelgap_agent.packets.events import EnvelopeArrived
-from keelgap_agent.packets.state import AgentState, Flow, Stream
+from keelgap_agent.packets.flows import Flow
+from keelgap_agent.packets.registrar import Stream
+from keelgap_agent.packets.state import AgentState
 
 __all__ = (
     'keep_registered',
--- a/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/request_log.py
@@ -6,7 +6,8 @@
 
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import AgentEffect, Decided, Observed
-from keelgap_agent.packets.state import AgentState, Flow, SeenRequest
+from keelgap_agent.packets.flows import Flow, SeenRequest
+from keelgap_agent.packets.state import AgentState
 
 __all__ = ('note_request', 'tell_answer', 'tell_begun', 'tell_unanswered')
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/room/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/room/order.py
@@ -7,7 +7,8 @@
 from keelgap_agent.packets.room import defaults
 
 if TYPE_CHECKING:
-    from keelgap_agent.packets.state import AgentState, Held
+    from keelgap_agent.packets.flows import Held
+    from keelgap_agent.packets.state import AgentState
 
 __all__ = ('choose_under_pressure',)
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/room/verdicts.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/room/verdicts.py
@@ -14,7 +14,8 @@
 from keelgap_agent.packets.room import defaults
 
 if TYPE_CHECKING:
-    from keelgap_agent.packets.state import AgentState, Held
+    from keelgap_agent.packets.flows import Held
+    from keelgap_agent.packets.state import AgentState
 
 __all__ = ('NO_TIME', 'compute_room_ms', 'lacks_time')
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/later.py
@@ -15,12 +15,13 @@
 from keelgap_agent.packets.admission import release_held, release_request
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.flows import Flow, Held
 from keelgap_agent.packets.outcomes.judging import judge_bounce
 from keelgap_agent.packets.request_log import tell_unanswered
 from keelgap_agent.packets.scheduling.order import has_room
 from keelgap_agent.packets.scheduling.rests import note_length
 from keelgap_agent.packets.scheduling.terms import read_packet
-from keelgap_agent.packets.state import AgentState, Flow, Held
+from keelgap_agent.packets.state import AgentState
 
 __all__ = (
     'begins_to_wait',
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/order.py
@@ -5,9 +5,10 @@
 
 from keelgap_agent.packets import defaults as agent_defaults
 from keelgap_agent.packets.effects import AgentEffect, Observed
+from keelgap_agent.packets.flows import Held
 from keelgap_agent.packets.scheduling import defaults
 from keelgap_agent.packets.scheduling.rests import note_released
-from keelgap_agent.packets.state import AgentState, Held
+from keelgap_agent.packets.state import AgentState
 
 __all__ = ('choose_next', 'has_room', 'observe_wait')
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/rests.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/scheduling/rests.py
@@ -5,8 +5,9 @@
 request would keep its slot at the upstream while the rest waits here.
 """
 
+from keelgap_agent.packets.flows import Flow, Held
 from keelgap_agent.packets.scheduling import defaults
-from keelgap_agent.packets.state import AgentState, Flow, Held
+from keelgap_agent.packets.state import AgentState
 
 __all__ = ('note_length', 'note_released')
 
--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -5,7 +5,8 @@
 
 from keelgap_agent.packets import admission
 from keelgap_agent.packets import reducer as agent_reducer
-from keelgap_agent.packets.state import AgentState, Flow
+from keelgap_agent.packets.flows import Flow
+from keelgap_agent.packets.state import AgentState
 from keelgap_balancer.packets import membership, search, verdicts
 from keelgap_balancer.packets import reducer as balancer_reducer
 from keelgap_balancer.packets.state import PacketState
