--- a/Makefile
+++ b/Makefile
@@ -60,4 +60,7 @@
 fuzz: $(STAMP)
 	KEELGAP_FUZZ=1 KEELGAP_SEED=$(SEED) $(BIN)/python -m unittest \
 		tests.agent.test_oracle tests.balancer.test_oracle \
-		tests.keelgap.test_oracle tests.packets.test_oracle
+		tests.keelgap.test_oracle tests.packets.test_oracle \
+		tests.packets.test_ejection_oracle tests.packets.test_lapse_oracle \
+		tests.packets.test_given_back tests.packets.test_starts_oracle \
+		tests.packets.test_directory_oracle
