--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -36,6 +36,8 @@
     'GREETINGS_AT_ONCE',
     'HELLO_SECONDS',
     'ANSWER_SECONDS',
+    'INHERIT_PAUSE_SECONDS',
+    'INHERIT_SECONDS',
     'ISOLATED_SECONDS',
     'MAX_CHANGES',
     'NEWS_FACTOR',
@@ -50,6 +52,7 @@
     'MAX_GOSSIP_PEERS',
     'MAX_GREETED',
     'MAX_HOPS',
+    'MAX_INHERITING',
     'MAX_OPENINGS',
     'MAX_PARKED',
     'MAX_PLACES',
@@ -213,6 +216,14 @@
 #: flows until the change is in force there, the users' bound for that.
 UNLISTED_SECONDS: Final = 18.0
 
+#: A balancer that began asks those that it hears for so long what they list,
+#: with such pauses: it has heard all of a small fleet after a few rounds.
+INHERIT_SECONDS: Final = 2.5
+INHERIT_PAUSE_SECONDS: Final = 1.0
+
+#: Balancers that were told of which is remembered, a message each.
+MAX_INHERITING: Final = 64
+
 #: What it costs to place a flow in another availability zone, as a share of
 #: an upstream's slots.
 REMOTE_LOAD: Final = 2.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/effects.py
@@ -17,7 +17,7 @@
 
 
 class SendToAgent(NamedTuple):
-    """Send an envelope to the agent on a host."""
+    """Send an envelope to the agent or balancer on a host."""
 
     host: str
     envelope: Envelope
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/events.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/events.py
@@ -55,6 +55,8 @@
 
     now: float
     stamp: Stamp
+    #: Its host, if it can be asked.
+    sender: str = ''
 
 
 class TimerFired(NamedTuple):
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/membership.py
@@ -33,6 +33,7 @@
     state.latest_change = max(state.latest_change, catalog.latest_change)
     if state.informed_at is None:
         state.informed_at = now
+        state.holders.first_revision = catalog.revision
     if catalog.has_gap:
         state.holders.gap_at = now
     by_host = state.by_host
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -34,6 +34,11 @@
 from keelgap_balancer.packets.forwards import forward
 from keelgap_balancer.packets.giving_up import expire_searches
 from keelgap_balancer.packets.greeting import greet_agents
+from keelgap_balancer.packets.inheriting import (
+    answer_asked,
+    ask_balancer,
+    take_served,
+)
 from keelgap_balancer.packets.membership import (
     change_catalog,
     forget_former_routes,
@@ -135,8 +140,9 @@
 
 
 def _take_envelope(state: PacketState, event: EnvelopeArrived) -> Effects:
-    if event.envelope.kind == EnvelopeKind.REFUSED:
-        return take_refused(state, event)
+    take = _BALANCER_HANDLERS.get(event.envelope.kind)
+    if take is not None:
+        return take(state, event)
     view, told = find_sender(state, event)
     if view is None:
         return told
@@ -291,7 +297,7 @@
 
 def _note_balancer(state: PacketState, event: StampHeard) -> Effects:
     state.note_stamp(event.stamp)
-    return ()
+    return ask_balancer(state, event.sender, event.now)
 
 
 def _handle_timer(state: PacketState, event: TimerFired) -> Effects:
@@ -315,6 +321,15 @@
     )
 
 
+#: Of messages that balancers send each other.
+_BALANCER_HANDLERS: Final[
+    Mapping[int, Callable[[PacketState, EnvelopeArrived], Effects]]
+] = MappingProxyType({
+    int(EnvelopeKind.REFUSED): take_refused,
+    int(EnvelopeKind.SERVED_ASKED): answer_asked,
+    int(EnvelopeKind.SERVED_TOLD): take_served,
+})
+
 _ENVELOPE_HANDLERS: Final[
     Mapping[
         int,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -214,7 +214,7 @@
         now = self.loop.clock()
         self.heard_at = now
         if envelope.kind == EnvelopeKind.GOSSIP:
-            self._dispatch(StampHeard(now, stamp))
+            self._dispatch(StampHeard(now, stamp, sender[0]))
             self.gossip.take(envelope, sender[0])
             return
         self._dispatch(EnvelopeArrived(now, sender[0], envelope, stamp))
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -95,7 +95,14 @@
 class Holders:
     """Agents to ask for flows that neither catalog nor directory can deny."""
 
-    __slots__ = ('gap_at', 'unlisted', 'unspoken')
+    __slots__ = (
+        'asked',
+        'first_revision',
+        'gap_at',
+        'told',
+        'unlisted',
+        'unspoken',
+    )
 
     def __init__(self) -> None:
         """Start with none."""
@@ -104,6 +111,12 @@
         #: Those for which directory nodes do not speak, by route, nodes and
         #: number of denials.
         self.unspoken: dict[tuple[Any, ...], tuple[AgentView, ...]] = {}
+        #: Revision of the first catalog: what came before is not known here.
+        self.first_revision = 0
+        #: When each other balancer was asked last what it lists.
+        self.asked: dict[str, float] = {}
+        #: Balancers that were told, and the first revision of each.
+        self.told: dict[str, int] = {}
         #: When a catalog came that does not tell what it missed.
         self.gap_at = float('-inf')
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted.py
@@ -2,9 +2,9 @@
 
 Addresses are used again, and balancers learn of that at different times.  One
 that is behind may open flows at an upstream that no balancer has read of yet,
-on a host that the catalog in force here lists for another service.  Two things
-tell of such an agent: its host was listed for the service a moment ago, or its
-own envelopes name the service.
+on a host that the catalog in force here lists for another service.  Three
+things tell of such an agent: its host was listed for the service a moment ago,
+its own envelopes name the service, or other balancers still list it so.
 """
 
 from collections.abc import Mapping
@@ -23,6 +23,7 @@
     'forget_unlisted',
     'list_unlisted',
     'note_displaced',
+    'note_service',
 )
 
 Effects = tuple[PacketEffect, ...]
@@ -101,6 +102,7 @@
     The service that it names counts, not the one that the catalog lists.
     """
     tag = event.envelope.service_tag
+    told = note_service(state, event.sender, tag, event.now)
     listed = state.by_host.get(event.sender)
     views = [
         view
@@ -109,33 +111,44 @@
     ]
     if not views:
         return None, (Decided('drop_unknown_sender'),)
-    for heard in views:
-        heard.note_heard(event.now)
-    named = [view for view in views if view.service_tag == tag]
-    if named or listed is None:
-        return next(iter(named), views[0]), ()
-    return _take_at_its_word(state, listed, event)
+    for answering in views:
+        answering.waiting_since = None
+    if listed is not None:
+        listed.note_heard(event.now)
+    named = (view for view in views if view.service_tag == tag)
+    sender = next(named, views[0])
+    sender.note_heard(event.now)
+    return sender, told
 
 
-def _take_at_its_word(
+def note_service(
     state: PacketState,
-    listed: AgentView,
-    event: EnvelopeArrived,
-) -> tuple[AgentView, Effects]:
-    """Keep an agent for the service that it names, if a route leads there."""
-    service = _find_service(state, event.envelope.service_tag)
+    host: str,
+    tag: int,
+    now: float,
+) -> Effects:
+    """Keep a host for a service for which the catalog does not list it.
+
+    Only where a route leads to the service, and the catalog lists the host.
+    """
+    listed = state.by_host.get(host)
+    if listed is None or listed.service_tag == tag:
+        return ()
+    service = _find_service(state, tag)
     if service is None:
-        return listed, ()
+        return ()
+    was_known = (host, service) in state.holders.unlisted
     row = listed.upstream._replace(service=service)
-    view = _keep(state, AgentView(row, event.now), event.now)
-    view.note_heard(event.now)
+    _keep(state, AgentView(row, now), now)
+    if was_known:
+        return ()
     fields = {
-        'host': listed.host,
+        'host': host,
         'serves': service,
         'listed_for': listed.upstream.service,
         'revision': state.confirmed_revision,
     }
-    return view, (Decided('agent_of_unlisted_service', fields),)
+    return (Decided('agent_of_unlisted_service', fields),)
 
 
 def _find_service(state: PacketState, tag: int) -> str | None:
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -93,6 +93,11 @@
     #: Balancer to balancer: callers that were refused a moment ago; a list of
     #: RefusedCaller follows.
     REFUSED = 16
+    #: Balancer to balancer: I have just begun, what do you list?  A
+    #: ServedQuestion follows.
+    SERVED_ASKED = 17
+    #: Balancer to balancer: the answer; a list of ServedHost follows.
+    SERVED_TOLD = 18
 
 
 _KINDS: Final = frozenset(int(kind) for kind in EnvelopeKind)
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -186,6 +186,7 @@
         """Restart a balancer; it learns the catalog at once."""
         self.balancers[host] = self._make_balancer()
         self.learn(host)
+        self._answer_first_message(host)
 
     @rule(host=st.sampled_from(BALANCERS))
     def learn(self, host: str) -> None:
@@ -610,11 +611,22 @@
         for other in BALANCERS:
             if other == host:
                 continue
-            heard = balancer_events.StampHeard(self.now, stamp)
+            heard = balancer_events.StampHeard(self.now, stamp, host)
             self.in_flight.append(
                 (other, partial(self._run_balancer, other, heard)),
             )
 
+    def _answer_first_message(self, host: str) -> None:
+        """The other balancers answer one that has just begun, at once."""
+        for other in BALANCERS:
+            if other == host:
+                continue
+            stamp = self.balancers[other].make_stamp()
+            heard = balancer_events.StampHeard(self.now, stamp, other)
+            self.in_flight.append(
+                (host, partial(self._run_balancer, host, heard)),
+            )
+
     def _get_upstream(self, number: int) -> FakeUpstream:
         return self.upstreams[f'10.0.0.{number}']
 
--- a/tests/packets/test_unlisted.py
+++ b/tests/packets/test_unlisted.py
@@ -204,6 +204,23 @@
         (reset,) = self.deny_at_others()
         self.assertIsInstance(reset, SendReset)
 
+    def test_it_is_forgotten_although_its_host_speaks(self) -> None:
+        """The agent there names the service that is listed."""
+        self.reuse()
+        for _ in range(int(defaults.UNLISTED_SECONDS) + 2):
+            self.now += 1
+            self.say(HOST, 'proof')
+            self.take(TimerFired(self.now))
+        self.assertFalse(self.state.holders.unlisted)
+
+    def test_it_is_kept_while_it_names_the_service(self) -> None:
+        """Its entry may come at any moment."""
+        for _ in range(int(defaults.UNLISTED_SECONDS) + 2):
+            self.now += 1
+            self.say(HOST, 'proof')
+            self.take(TimerFired(self.now))
+        self.assertIn((HOST, 'proof'), self.state.holders.unlisted)
+
     def test_it_takes_no_new_flow(self) -> None:
         """Its upstream has no entry that says what it bears."""
         self.reuse()
@@ -314,5 +331,5 @@
             world.deliver_all()
         keys = speak_on_all(world, FIRST)
         self.assertIn([HOST], [world._find_holders(key) for key in keys])
-        # Here the flow is reset.
+        # Here the flow was reset.
         speak_on_all(world, SECOND)
