--- a/tests/packets/directory_machine.py
+++ b/tests/packets/directory_machine.py
@@ -171,8 +171,8 @@
             super()._post(receiver, sender, envelope)
             return
         if not self._loses(envelope):
-            super()._post(receiver, sender, envelope)
-            self._deliver(*self.in_flight.pop())
+            run = self._make_delivery(receiver, sender, envelope)
+            self._deliver(receiver, run)
 
     def _loses(self, envelope: Envelope) -> bool:
         """Return whether a registration is lost, one of two at most."""
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -693,6 +693,18 @@
         return balancer.make_stamp()
 
     def _post(self, receiver: str, sender: str, envelope: Envelope) -> None:
+        run = self._make_delivery(receiver, sender, envelope)
+        self.in_flight.append((receiver, run))
+        if len(self.in_flight) > _MOST_IN_FLIGHT:
+            self._deliver(*self.in_flight.pop(0))
+
+    def _make_delivery(
+        self,
+        receiver: str,
+        sender: str,
+        envelope: Envelope,
+    ) -> Callable[[], None]:
+        """Return what happens when an envelope arrives."""
         stamp = self._make_stamp(sender)
 
         def run() -> None:
@@ -703,9 +715,7 @@
             else:
                 self._run_agent(receiver, agent_events.EnvelopeArrived(*parts))
 
-        self.in_flight.append((receiver, run))
-        if len(self.in_flight) > _MOST_IN_FLIGHT:
-            self._deliver(*self.in_flight.pop(0))
+        return run
 
     def _deliver(self, receiver: str, run: Callable[[], None]) -> None:
         known = receiver in self.balancers or receiver in self.agents
