--- a/packages/keelgap-agent/src/keelgap_agent/packets/directory_state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/directory_state.py
@@ -137,12 +137,16 @@
             self.counted_at = float('-inf')
 
     def list_holders(self, key: bytes, now: float) -> tuple[str, ...]:
-        """Return the hosts that registered a flow and were heard lately."""
+        """Return the hosts that registered a flow and were heard lately.
+
+        And those that counted as covered a moment ago: not to name them would
+        deny the flow for them.
+        """
         hosts = self.holders.get(key) or ()
         return tuple(
             host
             for host in hosts
-            if host in self.members and self.members[host].is_fresh(now)
+            if host in self.covered or self._is_heard(host, now)
         )
 
     def count_covered(self, own: str, now: float) -> None:
@@ -191,6 +195,11 @@
         for host in gone:
             self.members.pop(host)
 
+    def _is_heard(self, host: str, now: float) -> bool:
+        """Return whether an agent was heard lately."""
+        member = self.members.get(host)
+        return member is not None and member.is_fresh(now)
+
     def _add_holder(self, key: bytes, host: str) -> None:
         hosts = self.holders.get(key) or ()
         if host not in hosts:
--- a/packages/keelgap/src/keelgap/catalog/effects.py
+++ b/packages/keelgap/src/keelgap/catalog/effects.py
@@ -53,8 +53,7 @@
     latest_change: int
     #: ``store`` or ``peer``, for logs.
     source: str
-    #: Entries that were written and are gone again, at their last revision;
-    #: this process never held them.
+    #: Entries that were written and are gone again, at their last revision.
     missed: Mapping[str, Entry] = NO_ENTRIES
     #: Whether entries may have come and gone of which nothing tells.
     has_gap: bool = False
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -335,6 +335,22 @@
         self.assertEqual(self.list_covered(), frozenset())
         self.assertEqual(self.look_up(), ())
 
+    def test_agent_that_falls_silent_is_named_while_it_is_covered(self) -> None:
+        """To cover it and not to name it would deny a flow that lives.
+
+        Whom a node covers is counted anew after a moment only.
+        """
+        self.register()
+        self.now += agent_defaults.COVERED_SECONDS
+        self.now -= agent_defaults.COUNT_SECONDS * 1.2
+        self.assertEqual(self.list_covered(), {OWN})
+        self.now += agent_defaults.COUNT_SECONDS / 2
+        self.assertEqual(self.look_up(), (OWN,))
+        self.assertEqual(self.state.directory.covered, {OWN})
+        self.now += agent_defaults.COUNT_SECONDS
+        self.assertEqual(self.look_up(), ())
+        self.assertEqual(self.state.directory.covered, frozenset())
+
     def test_frozen_node_does_not_speak_for_what_it_knew(self) -> None:
         """The first event after it wakes may be a question."""
         self.register()
