--- a/packages/keelgap-agent/src/keelgap_agent/packets/directory.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/directory.py
@@ -13,6 +13,7 @@
     unpack_registration,
 )
 from keelgap.packets.envelopes import EnvelopeKind
+from keelgap.runtime.lines import MAX_NAMED
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
@@ -33,8 +34,17 @@
     registration = unpack_registration(event.envelope.content)
     if event.envelope.service_tag != state.service_tag:
         return (Decided('drop_other_service'),)
-    state.directory.take(event.sender, registration, event.now)
-    return ()
+    member = state.directory.take(event.sender, registration, event.now)
+    if member is None or member.former_tag is None:
+        return ()
+    fields = {
+        'host': event.sender,
+        'upstream_tag': registration.upstream_tag,
+        'former_tag': member.former_tag,
+        'knows_all_flows': registration.is_complete,
+        'flows': registration.end,
+    }
+    return (Decided('agent_restarted', fields),)
 
 
 def answer_lookup(state: AgentState, event: EnvelopeArrived) -> Effects:
@@ -45,15 +55,15 @@
     """
     question = unpack_question(event.envelope.content)
     now = event.now
-    _count_covered(state, now)
+    counted = _count_covered(state, now)
     directory = state.directory
     rows = tuple((key, _find_holders(state, key, now)) for key in question.keys)
     content = pack_lookup(Lookup(directory.digest, rows))
     found = state.send(event.sender, EnvelopeKind.FOUND, content)
     directory.watchers[event.sender] = now + defaults.WATCH_SECONDS
     if question.digest == directory.digest:
-        return (found,)
-    return (*_tell_covered(state, event.sender), found)
+        return (*counted, found)
+    return (*counted, *_tell_covered(state, event.sender), found)
 
 
 def _tell_covered(state: AgentState, host: str) -> Effects:
@@ -69,15 +79,16 @@
     directory.forget_watchers(now)
     if not directory.watchers:
         return ()
-    _count_covered(state, now)
+    counted = _count_covered(state, now)
     if directory.digest == directory.told_digest:
-        return ()
+        return counted
     directory.told_digest = directory.digest
-    return tuple(
+    told = tuple(
         effect
         for host in directory.watchers
         for effect in _tell_covered(state, host)
     )
+    return (*counted, *told)
 
 
 def ask_lagging(state: AgentState, now: float) -> Effects:
@@ -88,10 +99,22 @@
     )
 
 
-def _count_covered(state: AgentState, now: float) -> None:
+def _count_covered(state: AgentState, now: float) -> Effects:
+    """Count for whom this node speaks; return a line if that changed."""
     registrar = state.registrar
     own = registrar.own if registrar.is_complete else ''
-    state.directory.count_covered(own, now)
+    change = state.directory.count_covered(own, now)
+    if not change.added and not change.removed:
+        return ()
+    fields = {
+        'added': len(change.added),
+        'added_hosts': sorted(change.added)[:MAX_NAMED],
+        'removed': len(change.removed),
+        'removed_hosts': sorted(change.removed)[:MAX_NAMED],
+        'covered': len(state.directory.covered),
+        'members': len(state.directory.members),
+    }
+    return (Decided('coverage_changed', fields),)
 
 
 def _find_holders(
--- a/packages/keelgap-agent/src/keelgap_agent/packets/directory_state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/directory_state.py
@@ -1,5 +1,7 @@
 """State of the flow directory, as an agent that keeps a part of it holds it."""
 
+from typing import Final, NamedTuple
+
 from keelgap.packets.directory import (
     digest_hosts,
 )
@@ -9,7 +11,17 @@
 from keelgap.packets.generations import Generations
 from keelgap_agent.packets import defaults
 
-__all__ = ('Directory', 'Member')
+__all__ = ('CoverageChange', 'Directory', 'Member')
+
+
+class CoverageChange(NamedTuple):
+    """Agents for which a directory node speaks since now, or no more."""
+
+    added: frozenset[str]
+    removed: frozenset[str]
+
+
+_NO_CHANGE: Final = CoverageChange(frozenset(), frozenset())
 
 
 class Member:
@@ -121,10 +133,16 @@
         #: Digest that they were told last.
         self.told_digest = 0
 
-    def take(self, host: str, registration: Registration, now: float) -> None:
-        """Take what an agent registers."""
+    def take(
+        self,
+        host: str,
+        registration: Registration,
+        now: float,
+    ) -> Member | None:
+        """Take what an agent registers; return the agent if it is new."""
         member = self.members.get(host)
-        if member is None or member.boot != registration.boot:
+        is_new = member is None or member.boot != registration.boot
+        if member is None or is_new:
             later = Member(registration, now)
             if member is not None:
                 later.former_tag = member.upstream_tag or member.former_tag or 0
@@ -135,6 +153,7 @@
             self._add_holder(key, host)
         if member.is_covered(now) != (host in self.covered):
             self.counted_at = float('-inf')
+        return member if is_new else None
 
     def list_holders(self, key: bytes, now: float) -> tuple[str, ...]:
         """Return the hosts that registered a flow and were heard lately.
@@ -149,13 +168,13 @@
             if host in self.covered or self._is_heard(host, now)
         )
 
-    def count_covered(self, own: str, now: float) -> None:
-        """Bring the set of covered hosts up to date.
+    def count_covered(self, own: str, now: float) -> CoverageChange:
+        """Bring the set of covered hosts up to date; return what changed.
 
         ``own`` is this agent's host if it knows all flows of its upstream.
         """
         if now - self.counted_at < defaults.COUNT_SECONDS:
-            return
+            return _NO_CHANGE
         self.counted_at = now
         covered = {
             host
@@ -164,9 +183,12 @@
         }
         if own:
             covered.add(own)
-        if covered != self.covered:
-            self.covered = frozenset(covered)
-            self.digest = digest_hosts(covered)
+        if covered == self.covered:
+            return _NO_CHANGE
+        before = self.covered
+        self.covered = frozenset(covered)
+        self.digest = digest_hosts(covered)
+        return CoverageChange(self.covered - before, before - self.covered)
 
     def list_lagging(self, now: float) -> list[str]:
         """Return the hosts to ask for their flows, since some were lost."""
--- a/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
@@ -33,14 +33,13 @@
     if event.envelope.service_tag != state.service_tag:
         # Of a former upstream of another service on this host.
         return _change_zone(state, notice, event.sender)
-    was_complete = state.registrar.is_complete
     tag = state.registrar.upstream_tag
-    note_upstream(state, notice)
+    reason = note_upstream(state, notice)
     if tag and state.registrar.upstream_tag != tag:
         state.judge_anew(event.now)
     effects = _change_zone(state, notice, event.sender)
-    if state.registrar.is_complete and not was_complete:
-        effects = (*effects, *tell_complete(state, event.now))
+    if reason:
+        effects = (*effects, *tell_complete(state, reason, event.now))
     if notice.revision == state.zone_revision:
         # Not from a balancer that is behind.
         warm_at = event.now + notice.warm_up_ms / _MILLISECONDS
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
@@ -17,8 +17,9 @@
 )
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap.packets.notices import UpstreamNotice
+from keelgap.runtime.lines import MAX_NAMED
 from keelgap_agent.packets import defaults
-from keelgap_agent.packets.effects import AgentEffect, SendToPeer
+from keelgap_agent.packets.effects import AgentEffect, Decided, SendToPeer
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.flows import Flow
 from keelgap_agent.packets.registrar import Stream
@@ -36,34 +37,44 @@
 Effects = tuple[AgentEffect, ...]
 
 
-def note_upstream(state: AgentState, notice: UpstreamNotice) -> None:
+def note_upstream(state: AgentState, notice: UpstreamNotice) -> str:
     """Find out whether this process has seen all flows of the upstream.
 
     It has if the upstream began after it, or with it: they share a machine,
     and an upstream that began a moment ago has not outlived another agent.
-    If it has after all, the directory remembers that agent.
+    If it has after all, the directory remembers that agent.  Returns the
+    reason why it knows all flows from now on; empty if nothing changed.
     """
     registrar = state.registrar
     if notice.upstream_revision <= registrar.upstream_revision:
-        return
+        return ''
     registrar.upstream_revision = notice.upstream_revision
     if notice.upstream_tag == registrar.upstream_tag:
-        return
+        return ''
     was_known = registrar.upstream_tag != 0
     registrar.upstream_tag = notice.upstream_tag
-    if was_known or notice.is_young:
-        registrar.is_complete = True
+    if registrar.is_complete or not (was_known or notice.is_young):
+        return ''
+    registrar.is_complete = True
+    return 'outlived_upstream' if was_known else 'young_upstream'
 
 
-def tell_complete(state: AgentState, now: float) -> Effects:
+def tell_complete(state: AgentState, reason: str, now: float) -> Effects:
     """Tell the directory at once that it may speak for this agent.
 
     After an outage of everything verdicts on dead flows wait for it.
     """
-    return tuple(
-        _continue_stream(state, node, (), now)
-        for node in state.registrar.streams
+    registrar = state.registrar
+    fields = {
+        'reason': reason,
+        'upstream_tag': registrar.upstream_tag,
+        'age': round(now - registrar.began, 3),
+        'flows': len(state.flows),
+    }
+    told = (
+        _continue_stream(state, node, (), now) for node in registrar.streams
     )
+    return (Decided('knows_all_flows', fields), *told)
 
 
 def move(
@@ -76,13 +87,25 @@
     if directory.shards != registrar.directory.shards:
         # Flows may belong to other nodes now.
         registrar.streams.clear()
+    is_first = not registrar.directory.shards
     registrar.directory = directory
     nodes = {node for nodes in directory.shards for node in nodes}
     nodes.discard(registrar.own)
     added = sorted(nodes - registrar.streams.keys())
-    return tuple(
+    begun = tuple(
         effect for node in added for effect in _begin_stream(state, node, now)
     )
+    if not added:
+        return begun
+    fields = {
+        'revision': directory.revision,
+        'nodes': len(nodes),
+        'added_hosts': added[:MAX_NAMED],
+        'is_first': is_first,
+        'age': round(now - registrar.began, 3),
+        'flows': len(state.flows),
+    }
+    return (*begun, Decided('directory_told', fields))
 
 
 def resync(state: AgentState, event: EnvelopeArrived) -> Effects:
@@ -111,10 +134,12 @@
 def keep_registered(state: AgentState, now: float) -> Effects:
     """Show the directory from time to time that nothing was lost."""
     registrar = state.registrar
-    if now - registrar.began >= defaults.FLOW_LIFE_SECONDS:
+    effects: list[AgentEffect] = []
+    is_old = now - registrar.began >= defaults.FLOW_LIFE_SECONDS
+    if is_old and not registrar.is_complete:
         # Whatever flows another agent passed on, they have ended.
         registrar.is_complete = True
-    effects: list[AgentEffect] = []
+        effects.extend(tell_complete(state, 'former_flows_ended', now))
     for node, stream in tuple(registrar.streams.items()):
         if now - stream.began >= defaults.RENEW_SECONDS:
             effects.extend(_begin_stream(state, node, now))
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/verdicts.py
@@ -6,6 +6,7 @@
 
 from keelgap.catalog.models import PacketRoute
 from keelgap.packets.directory import choose_nodes
+from keelgap.runtime.lines import MAX_NAMED
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import (
     CatchUp,
@@ -157,6 +158,7 @@
         'asked': search.questions,
         'milliseconds': round((now - search.started) * 1000, 1),
         'revision': state.confirmed_revision,
+        **_describe_denials(state, route, search),
     }
     # Taken anew at each attempt: a change that is heard of after the denials
     # may still be older than the flow.
@@ -174,6 +176,26 @@
     return SendReset(search.latest), Decided('reset_dead_flow', fields)
 
 
+def _describe_denials(
+    state: PacketState,
+    route: PacketRoute,
+    search: Search,
+) -> dict[str, object]:
+    """Return who denied a flow, for itself and for others."""
+    nodes = {
+        host: len(state.nodes[host].covered)
+        for host in search.denied
+        if host in state.nodes
+    }
+    return {
+        'members': len(list_members(state, route)),
+        'nodes': nodes,
+        'denied_by': len(search.missed),
+        'denied_by_hosts': sorted(search.missed)[:MAX_NAMED],
+        'known_change': state.latest_change,
+    }
+
+
 def _wait_for_entries(
     search: Search,
     fields: dict[str, object],
--- a/tests/packets/test_balancer.py
+++ b/tests/packets/test_balancer.py
@@ -17,6 +17,7 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import (
     CatchUp,
+    Decided,
     SendReset,
     SendToAgent,
 )
@@ -56,6 +57,8 @@
         self.state = PacketState(FORMAT, 'a', self.now)
         #: What agents know of the store.
         self.stamp = NO_STAMP
+        #: Lines of what was decided.
+        self.decided: list[Decided] = []
         self.boards = [make_upstream(number) for number in (1, 2, 3)]
         self.proof = make_upstream(9, 'proof')
         self.change(make_catalog(1, [*self.boards, self.proof]))
@@ -63,6 +66,7 @@
     def take(self, event: PacketEvent) -> list[Any]:
         """Reduce one event."""
         self.state, effects = reduce(self.state, event)
+        self.decided += [one for one in effects if isinstance(one, Decided)]
         return list(effects)
 
     def change(self, catalog: Catalog) -> list[Any]:
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -29,7 +29,7 @@
     unpack_notice,
 )
 from keelgap_agent.packets import defaults as agent_defaults
-from keelgap_agent.packets.effects import SendToPeer, SendToUpstream
+from keelgap_agent.packets.effects import Decided, SendToPeer, SendToUpstream
 from keelgap_agent.packets.events import (
     AgentEvent,
     EnvelopeArrived,
@@ -143,6 +143,8 @@
         """Start anew."""
         self.now: float = 100
         self.state = AgentState(FORMAT, 'board', self.now, self.own)
+        #: Lines of what was decided on envelopes.
+        self.told: list[Decided] = []
 
     def take(self, event: AgentEvent) -> list[Any]:
         """Reduce one event."""
@@ -154,6 +156,7 @@
         tag = self.state.service_tag
         envelope = Envelope(kind, 0, 3, 0, 500, tag, content)
         effects = self.take(EnvelopeArrived(self.now, sender, envelope))
+        self.told += [one for one in effects if isinstance(one, Decided)]
         return [one for one in effects if isinstance(one, SendToPeer)]
 
     def notice(self, **fields: Any) -> list[Registration]:
@@ -239,6 +242,15 @@
         registration = self.notice(is_young=True)[0]
         self.assertTrue(registration.is_complete)
 
+    def test_lines_tell_why_it_knows_all_flows(self) -> None:
+        """And when it was told where to register them."""
+        self.now += 0.5
+        self.notice(is_young=True)
+        reason, told = (one.fields or {} for one in self.told)
+        self.assertEqual(reason['reason'], 'young_upstream')
+        self.assertEqual((reason['age'], told['age']), (0.5, 0.5))
+        self.assertTrue(told['is_first'])
+
     def test_agent_that_outlives_an_upstream_knows_all_of_the_next(
         self,
     ) -> None:
@@ -388,6 +400,24 @@
         self.register(boot=3)
         self.assertEqual(self.list_covered(), frozenset())
 
+    def test_lines_tell_whom_it_speaks_for_and_who_restarted(self) -> None:
+        """Afterwards there is nothing else to tell why a flow was denied."""
+        self.register()
+        question = pack_question(Question(0, (FLOW.key,)))
+        self.hear(BALANCER, EnvelopeKind.LOOKUP, question)
+        self.register(boot=2)
+        self.now += agent_defaults.COUNT_SECONDS
+        self.hear(BALANCER, EnvelopeKind.LOOKUP, question)
+        names = [one.name for one in self.told]
+        self.assertEqual(
+            names,
+            ['coverage_changed', 'agent_restarted', 'coverage_changed'],
+        )
+        first, restarted, last = (one.fields or {} for one in self.told)
+        self.assertEqual(first['added_hosts'], [OWN])
+        self.assertEqual((restarted['host'], restarted['former_tag']), (OWN, 7))
+        self.assertEqual((last['removed_hosts'], last['covered']), ([OWN], 0))
+
     def test_both_holders_of_a_copied_opening_are_named(self) -> None:
         """Its caller chose one of them, and only that one knows."""
         self.register()
--- a/tests/packets/test_directory_search.py
+++ b/tests/packets/test_directory_search.py
@@ -94,6 +94,14 @@
         """Both nodes speak for all agents."""
         self.assertEqual(self.deny(), [SendReset(make_packet(FLOW, ACK))])
 
+    def test_line_of_a_reset_tells_who_denied_the_flow(self) -> None:
+        """By their own word, or through nodes that speak for others."""
+        self.deny()
+        told = [one for one in self.decided if one.name == 'reset_dead_flow']
+        fields = told[0].fields or {}
+        self.assertEqual(fields['nodes'], {FIRST: 12, SECOND: 12})
+        self.assertEqual((fields['members'], fields['denied_by']), (12, 0))
+
     def test_questions_gather_while_a_node_is_busy(self) -> None:
         """After an outage hundreds of flows are unknown at once."""
         flows = [FLOW._replace(port=port) for port in range(1, 40)]
