--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -254,6 +254,7 @@
     for upstream in world.upstreams:
         upstream.reaches_store = True
         upstream.failing = 0
+        upstream.is_full = False
         if not upstream.alive:
             upstream.start()
     for program in world.programs:
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -15,6 +15,9 @@
     'DRAIN_SECONDS',
     'FAULT_SECONDS',
     'FEATURES_INI',
+    'LARGE_FLEET',
+    'SMALL_FLEET',
+    'Fleet',
     'ProgramPlace',
     'SETTLED_SECONDS',
     'STORE',
@@ -76,15 +79,54 @@
 placement = on
 """
 
-_BALANCERS: Final = 5
-#: Service and availability zone of each upstream.
-_UPSTREAMS: Final = (
-    ('board', 'a'),
-    ('board', 'b'),
-    ('board', 'c'),
-    ('board', 'a'),
-    ('proof', 'b'),
-    ('proof', 'c'),
+_ZONES: Final = 'abc'
+
+
+class Fleet(NamedTuple):
+    """How many programs run, and how many callers use them."""
+
+    balancers: int
+    #: Service and availability zone of each upstream.
+    upstreams: tuple[tuple[str, str], ...]
+    #: Callers at each of their hosts, with one flow at a time.
+    callers: int
+    #: Requests that an upstream says it runs at once.
+    slots: int = 4
+    #: Shortest and longest work of a request.
+    work_seconds: tuple[float, float] = (0.005, 0.05)
+    #: For so long an upstream says that it is still slow.
+    warm_up_seconds: float = 0
+
+
+SMALL_FLEET: Final = Fleet(
+    5,
+    (
+        ('board', 'a'),
+        ('board', 'b'),
+        ('board', 'c'),
+        ('board', 'a'),
+        ('proof', 'b'),
+        ('proof', 'c'),
+    ),
+    8,
+)
+
+
+def _spread(service: str, count: int) -> tuple[tuple[str, str], ...]:
+    """Return the upstreams of a service, in all zones by turns."""
+    return tuple(
+        (service, _ZONES[number % len(_ZONES)]) for number in range(count)
+    )
+
+
+#: Both services have a flow directory.
+LARGE_FLEET: Final = Fleet(
+    24,
+    (*_spread('board', 50), *_spread('proof', 13)),
+    100,
+    slots=1,
+    work_seconds=(0.02, 0.08),
+    warm_up_seconds=2,
 )
 
 
@@ -120,15 +162,16 @@
     return ports
 
 
-def make_places() -> list[ProgramPlace]:
+def make_places(fleet: Fleet) -> list[ProgramPlace]:
     """Return the places of all programs, balancers first."""
+    balancers = _spread('', fleet.balancers)
     rows = [
         (f'balancer-{number}', f'{_NET}.0.{number}', zone, '')
-        for number, zone in enumerate('abcab'[:_BALANCERS], start=1)
+        for number, (_, zone) in enumerate(balancers, start=1)
     ]
     rows += [
         (f'agent-{number}', f'{_NET}.1.{number}', zone, service)
-        for number, (service, zone) in enumerate(_UPSTREAMS, start=1)
+        for number, (service, zone) in enumerate(fleet.upstreams, start=1)
     ]
     ports = find_free_ports(3 * len(rows))
     return [
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -1,9 +1,10 @@
 """Upstreams beside the agents: they hold flows, crash, drain and return."""
 
 import asyncio
+import socket
 import time
 from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, Literal, NamedTuple
 
 from keelgap.addresses import Address
 from keelgap.catalog.models import PacketUpstream
@@ -22,7 +23,7 @@
     FlowName,
     make_packet,
 )
-from tests.soak.settings import ProgramPlace
+from tests.soak.settings import Fleet, ProgramPlace
 from tests.soak.truth import ROUTES, Truth, make_canonical
 
 __all__ = ('ANSWER', 'Ports', 'Upstream')
@@ -34,7 +35,6 @@
 _MISSED_HEARTBEATS: Final = 3
 _LAPSE_SECONDS: Final = _HEARTBEAT_SECONDS * _MISSED_HEARTBEATS
 _MILLISECONDS: Final = 1000
-_WORK_SECONDS: Final = (0.005, 0.05)
 
 
 class Ports(NamedTuple):
@@ -54,6 +54,7 @@
         store: PacketStore,
         place: ProgramPlace,
         ports: Ports,
+        fleet: Fleet,
     ) -> None:
         """Start nothing yet."""
         self.random = random
@@ -62,6 +63,7 @@
         self.place = place
         self.ports = ports
         self.service = place.service
+        self.fleet = fleet
         self.starts = 0
         #: Of this start, in the books.
         self.upstream_id = ''
@@ -70,9 +72,21 @@
         #: Unix milliseconds of the start.
         self.started = 0
         self.alive = False
+        #: What its entry says of it.
+        self.state: Literal['active', 'draining'] = 'active'
+        #: Until when it says that it is slow after its start.
+        self.warm_at: float = 0
+        #: Reports of this start so far.
+        self.reports = 0
+        #: When the last one was made.
+        self.reported_at: float = 0
+        #: Takes health probes while the upstream runs.
+        self.listener: socket.socket | None = None
         #: Whether the store takes this upstream's writes.
         self.reaches_store = True
         self.missed = 0
+        #: Whether it takes no new flows.
+        self.is_full = False
         #: Share of the requests whose flow it resets instead of an answer.
         self.failing: float = 0
         self.half_open: set[bytes] = set()
@@ -89,6 +103,11 @@
         )
         self.start()
 
+    def close(self) -> None:
+        """Close all sockets."""
+        self.transport.close()
+        self._stop_listening()
+
     def connection_made(self, transport: Any) -> None:
         """Keep the socket."""
         self.transport = transport
@@ -106,22 +125,29 @@
             loop.call_later(_LAPSE_SECONDS, lambda: self.store.remove(former))
         self.alive = True
         self.missed = 0
-        self._write_entry('ready')
+        self.warm_at = time.monotonic() + self.fleet.warm_up_seconds
+        self.reports = 0
+        self.state = 'active'
+        self._listen()
+        self._write_entry()
 
     def crash(self) -> None:
         """Lose all flows; the entry lapses later."""
         self.alive = False
+        self._stop_listening()
         self._lose_flows()
 
     def drain(self) -> None:
         """Say that this upstream leaves."""
-        self._write_entry('draining')
+        self.state = 'draining'
+        self._write_entry()
         if self.reaches_store:
             self.truth.draining[self.upstream_id] = time.monotonic()
 
     def leave(self) -> None:
         """End for good; the entry goes."""
         self.alive = False
+        self._stop_listening()
         self._lose_flows()
         self.store.remove(self._key)
 
@@ -131,8 +157,8 @@
         self.missed = self.missed + 1 if lapses else 0
         if self.missed == _MISSED_HEARTBEATS:
             self.store.remove(self._key)
-        elif not lapses and self._key not in self.store.entries:
-            self._write_entry('ready')
+        elif not lapses and self._has_news():
+            self._write_entry()
 
     async def run(self) -> None:
         """Write heartbeats until cancelled."""
@@ -146,7 +172,8 @@
             return
         key = FORMAT.caller_key(data)
         opens = bool(data[26] & SYN)
-        if not opens and key not in self.half_open and not self._holds(key):
+        is_held = key in self.half_open or self._holds(key)
+        if not is_held and (self.is_full or not opens):
             bounced = bytearray(data)
             bounced[26] |= BOUNCED
             self._send(bytes(bounced))
@@ -165,6 +192,26 @@
         else:
             self._take_open(key, data)
 
+    def _has_news(self) -> bool:
+        """Return whether to write the entry: only changes are written."""
+        was_cold = self.reported_at < self.warm_at
+        return was_cold or self._key not in self.store.entries
+
+    def _listen(self) -> None:
+        """Take health probes, on the port that takes packets."""
+        self._stop_listening()
+        address = (self.place.host, self.ports.app)
+        listener = socket.create_server(address)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(listener, lambda: listener.accept()[0].close())
+        self.listener = listener
+
+    def _stop_listening(self) -> None:
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+
     def _take_open(self, key: bytes, data: bytes) -> None:
         self.half_open.discard(key)
         self.truth.open_flows[key] = self.upstream_id
@@ -178,7 +225,7 @@
             self._send(answer)
         elif FORMAT.data_length(data):
             self.answers[request] = b''
-            delay = self.random.uniform(*_WORK_SECONDS)
+            delay = self.random.uniform(*self.fleet.work_seconds)
             started = self.upstream_id
             asyncio.get_running_loop().call_later(
                 delay,
@@ -229,18 +276,21 @@
     def _key(self) -> str:
         return make_upstream_key(self.entry_id)
 
-    def _write_entry(self, state: str) -> None:
+    def _write_entry(self) -> None:
         if not self.reaches_store:
             return
+        self.reported_at = time.monotonic()
+        self.reports += 1
         report = PacketUpstream(
             self.entry_id,
             self.service,
             Address(self.place.host, self.ports.app),
             self.place.zone,
-            4,
-            'draining' if state == 'draining' else 'active',
-            0,
+            self.fleet.slots,
+            self.state,
+            max(self.warm_at - self.reported_at, 0),
             started=self.started,
+            reports=self.reports,
         )
         self.store.put(self._key, make_upstream_document(report))
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,7 +25,9 @@
     BALANCER_INI,
     CALLERS,
     FEATURES_INI,
+    SMALL_FLEET,
     STORE,
+    Fleet,
     ProgramPlace,
     find_free_ports,
     make_places,
@@ -38,7 +40,6 @@
 _DEPLOY: Final = Path(__file__).parents[2] / 'deploy'
 #: The platform kills a program that does not end by itself.
 _GRACE_SECONDS: Final = 6.0
-_CALLERS_A_HOST: Final = 8
 
 
 class Program:
@@ -108,13 +109,15 @@
         folder: Path,
         *,
         has_features: bool = False,
+        fleet: Fleet = SMALL_FLEET,
     ) -> None:
         """Write settings into the folder; nothing runs yet."""
+        self.fleet = fleet
         self.has_features = has_features
         self.random = Random(seed)
         self.folder = folder
         self.truth = Truth()
-        self.places = make_places()
+        self.places = make_places(fleet)
         self.balancers = [one for one in self.places if not one.service]
         self.agents = [one for one in self.places if one.service]
         names = ('callers', 'ready', 'control', 'store', 'app', 'outbound')
@@ -128,7 +131,14 @@
         self.relays = [*self.store_relays.values(), *self._make_relays()]
         ports = Ports(self.ports['app'], self.ports['outbound'])
         self.upstreams = [
-            Upstream(self.random, self.truth, self.store, place, ports)
+            Upstream(
+                self.random,
+                self.truth,
+                self.store,
+                place,
+                ports,
+                fleet,
+            )
             for place in self.agents
         ]
         self.routers = Routers(self.balancers, self.ports['ready'])
@@ -148,7 +158,7 @@
             stack.callback(relay.close)
         for upstream in self.upstreams:
             await upstream.open()
-            stack.callback(upstream.transport.close)
+            stack.callback(upstream.close)
             self._run(stack, upstream.run())
         stack.callback(self._kill_programs)
         self.start_missing()
@@ -263,7 +273,7 @@
         )
         stack.callback(caller.transport.close)
         self.hosts.append(caller)
-        for _ in range(_CALLERS_A_HOST):
+        for _ in range(self.fleet.callers):
             self._run(stack, caller.run())
 
     def _run(self, stack: AsyncExitStack, work: Any) -> None:
