--- a/experiments/directory_model.py
+++ b/experiments/directory_model.py
@@ -50,6 +50,9 @@
 class Service:
     """One service behind one balancer."""
 
+    #: Whether agents start before the upstreams beside them.
+    agents_start_first = True
+
     def __init__(self, count: int) -> None:
         """Start a fleet for the first time."""
         self.now = 10.0
@@ -81,6 +84,8 @@
             )
             for row in rows
         }
+        for agent in self.agents.values():
+            agent.registrar.is_older = self.agents_start_first
         self.held = {host: set() for host in self.agents}
         self.catalog = make_catalog(self.generation, rows)
         self.move_flows()
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
@@ -46,5 +46,7 @@
         #: Stands for the upstream's id; 0 until a balancer tells.
         self.upstream_tag = 0
         self.upstream_revision = 0
+        #: Whether no upstream ran here when this process began.
+        self.is_older = False
         #: Whether this process has seen each flow that the upstream holds.
         self.is_complete = False
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registration.py
@@ -40,10 +40,12 @@
 def note_upstream(state: AgentState, notice: UpstreamNotice) -> str:
     """Find out whether this process has seen all flows of the upstream.
 
-    It has if the upstream began after it, or with it: they share a machine,
-    and an upstream that began a moment ago has not outlived another agent.
-    If it has after all, the directory remembers that agent.  Returns the
-    reason why it knows all flows from now on; empty if nothing changed.
+    It has if the upstream began after it: nothing ran there when this process
+    began, and the upstream has started a moment ago.  That alone does not tell,
+    since another process may have been here in that moment; nor does the name
+    of a former upstream, which a balancer may take for the present one.
+    Returns the reason why it knows all flows from now on; empty if nothing
+    changed.
     """
     registrar = state.registrar
     if notice.upstream_revision <= registrar.upstream_revision:
@@ -51,12 +53,11 @@
     registrar.upstream_revision = notice.upstream_revision
     if notice.upstream_tag == registrar.upstream_tag:
         return ''
-    was_known = registrar.upstream_tag != 0
     registrar.upstream_tag = notice.upstream_tag
-    if registrar.is_complete or not (was_known or notice.is_young):
+    if registrar.is_complete or not (registrar.is_older and notice.is_young):
         return ''
     registrar.is_complete = True
-    return 'outlived_upstream' if was_known else 'young_upstream'
+    return 'older_than_upstream'
 
 
 def tell_complete(state: AgentState, reason: str, now: float) -> Effects:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -39,6 +39,7 @@
 )
 from keelgap_agent.packets.reducer import reduce
 from keelgap_agent.packets.state import AgentState
+from keelgap_agent.packets.upstream_probe import is_upstream_down
 
 __all__ = ('PacketAgent',)
 
@@ -76,7 +77,11 @@
             ),
         )
         # Otherwise another agent may have passed flows to the upstream.
-        self.state.registrar.is_complete = settings.upstream.first_start
+        is_older = is_upstream_down(self.upstream)
+        self.state.registrar.is_older = is_older
+        self.state.registrar.is_complete = (
+            is_older and settings.upstream.first_start
+        )
         if not settings.upstream.first_start:
             self.state.cold.note_other_agent()
         self.decisions = DecisionLog(process.lines, process.counters)
@@ -177,6 +182,7 @@
             'upstream_trials': len(state.outcomes.ejection.trials),
             'silent_requests': len(state.outcomes.stuck),
             'zone_out_of_service': state.is_evacuated,
+            'older_than_upstream': state.registrar.is_older,
             'knows_all_flows': state.registrar.is_complete,
         }
 
--- a/tests/packets/directory_machine.py
+++ b/tests/packets/directory_machine.py
@@ -78,6 +78,13 @@
         for host in BALANCERS:
             self.restart_balancer(host)
 
+    @rule()
+    def return_after_upstreams(self) -> None:
+        """The same, where each agent starts after its upstream."""
+        self.agents_start_first = False
+        self.fail_power()
+        self.agents_start_first = True
+
     @rule(service=st.sampled_from(('board', 'proof')))
     def lose_directory(self, service: str) -> None:
         """Restart all its nodes and some agents, whose flows live on.
--- a/tests/packets/machine.py
+++ b/tests/packets/machine.py
@@ -119,6 +119,8 @@
     hosts: tuple[int, ...] = HOSTS
     #: Seconds for which an upstream is slow after its start.
     warm_up: float = 0
+    #: Whether the agents of upstreams that start now began before them.
+    agents_start_first = True
     #: Far more than a packet needs that visits every agent once.
     most_deliveries = 2000
     #: Optional decisions of all programs.
@@ -519,6 +521,7 @@
         same_service = former and former.row.service == later.service
         if not (keeps_agent and same_service):
             agent = self._make_agent(later.service, host)
+            agent.registrar.is_older = self.agents_start_first
             self.agents[host] = agent
         self.listed[later.upstream_id] = later
 
--- a/tests/packets/test_complete_agents.py
+++ b/tests/packets/test_complete_agents.py
@@ -32,11 +32,26 @@
         The agent hears of the former upstream first, then of the present one,
         which is long warm, and must not take that for a start.
         """
+        self.play(hears_of_it=True)
+
+    def test_nor_where_nothing_reaches_the_balancer_that_is_behind(
+        self,
+    ) -> None:
+        """It tells of the former upstream in good faith.
+
+        Guards flows against an agent that takes the later name for a start.
+        """
+        self.play(hears_of_it=False)
+
+    def play(self, *, hears_of_it: bool) -> None:
+        """Restart an agent and all nodes; the world fails at a reset."""
         world = SmallDirectoryMachine()
         world.start()
         self.let_pass(world, 4)
         world.crash(number=1, reuse=False)
         world.learn(OTHER)
+        if not hears_of_it:
+            world.cut_off = BEHIND
         world.deliver_all()
         for _ in range(_OPENINGS):
             world.open('board', OTHER, 0)
@@ -51,6 +66,7 @@
         for number in sorted(restarted):
             world.restart_agent(number=number)
         self.let_pass(world, 3)
+        world.cut_off = ''
         world.restart_balancer(BEHIND)
         self.let_pass(world, 2)
         # Here the flow was reset.
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -94,6 +94,8 @@
     slots: int = 4
     #: Shortest and longest work of a request.
     work_seconds: tuple[float, float] = (0.005, 0.05)
+    #: Whether agents start before the upstreams beside them.
+    starts_agents_first: bool = False
     #: For so long an upstream says that it is still slow.
     warm_up_seconds: float = 0
 
@@ -126,6 +128,7 @@
     100,
     slots=1,
     work_seconds=(0.02, 0.08),
+    starts_agents_first=True,
     warm_up_seconds=2,
 )
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -40,6 +40,8 @@
 _DEPLOY: Final = Path(__file__).parents[2] / 'deploy'
 #: The platform kills a program that does not end by itself.
 _GRACE_SECONDS: Final = 6.0
+#: Until the agents run that start before their upstreams.
+_AGENTS_SECONDS: Final = 4.0
 
 
 class Program:
@@ -161,7 +163,7 @@
             stack.callback(upstream.close)
             self._run(stack, upstream.run())
         stack.callback(self._kill_programs)
-        self.start_missing()
+        await self._start_all()
         self._run(stack, self.routers.run())
         self._run(stack, self._watch_programs())
         for host in CALLERS:
@@ -227,6 +229,14 @@
         )
         self.store.put(ROUTES_KEY, document)
 
+    async def _start_all(self) -> None:
+        if self.fleet.starts_agents_first:
+            self.start_missing()
+            await asyncio.sleep(_AGENTS_SECONDS)
+        for upstream in self.upstreams:
+            upstream.start()
+        self.start_missing()
+
     def _make_relays(self) -> list[StreamRelay]:
         """Return the ways on which balancers read each other's catalogs."""
         return [
