--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -21,6 +21,8 @@
     'MAX_CALLERS',
     'PRESSED_SECONDS',
     'SHARE_SECONDS',
+    'ASKED_AT_ONCE',
+    'COVERAGE_SECONDS',
     'DIRECTORY_SECONDS',
     'DRAINED_SECONDS',
     'FEWEST_WIDE_LINKS',
@@ -141,6 +143,10 @@
 #: more have a directory.
 MAX_ASKED: Final = 8
 
+#: Agents of a larger service that are asked at once, where no directory speaks
+#: for them: seven round trips for 50 of them.
+ASKED_AT_ONCE: Final = 8
+
 #: A directory node that did not answer for so long is passed over.  On the
 #: slowest balancers, with 0.16 of a core, questions and answers of an outage
 #: take up to 0.07 s of processor time each way.
@@ -157,6 +163,10 @@
 #: Pause between notices to an agent that a directory lacks.
 NOTICE_AGAIN_SECONDS: Final = 0.5
 
+#: Where all nodes have answered, and speak for few agents, the others are asked
+#: after this: those that can be spoken for register each 0.1 s when they begin.
+COVERAGE_SECONDS: Final = 0.1
+
 #: After so long without an answer of the directory all agents are asked, one
 #: after the other.  Both nodes of a shard may be dark.
 DIRECTORY_SECONDS: Final = 0.45
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search.py
@@ -95,19 +95,34 @@
     asked = _look_up_next(state, search, nodes, key, now)
     if asked or search.lookups:
         return asked
+    unproved = _ask_unproved(state, search, route, nodes, key, now)
+    if unproved is not None:
+        return unproved
+    return give_verdict(state, route, search, key, now)
+
+
+def _ask_unproved(
+    state: PacketState,
+    search: Search,
+    route: PacketRoute,
+    nodes: tuple[str, ...],
+    key: bytes,
+    now: float,
+) -> Effects | None:
+    """Ask agents that nobody denied, or one node alone; None if all denied."""
     unknown = list_undenied(state, search, route, nodes, 1)
     if unknown:
-        if _waits_for_directory(search, unknown, nodes, now):
+        if _waits_for_coverage(search, unknown, nodes, now):
             return ()
         return _ask_members(state, search, key, unknown, now)
     # A registration may be on its way, or lost, at one node.
     unsure = list_undenied(state, search, route, nodes, COPIES)
-    if len(unsure) > defaults.MAX_ASKED:
-        # The other node is dark, and its own agent could not deny the flow.
+    if not unsure:
+        return None
+    is_early = _waits_for_directory(search, unsure, nodes, now)
+    if is_early or _is_node_dark(search, unsure, nodes):
         return ()
-    if unsure:
-        return _ask_members(state, search, key, unsure, now)
-    return give_verdict(state, route, search, key, now)
+    return _ask_members(state, search, key, unsure, now)
 
 
 def _rank_hosts(
@@ -141,13 +156,43 @@
 
 def _waits_for_directory(
     search: Search,
-    unknown: list[AgentView],
+    members: list[AgentView],
     nodes: tuple[str, ...],
     now: float,
 ) -> bool:
-    """Return whether the directory may soon know more than now."""
+    """Return whether the directory may soon know more of many agents."""
     is_early = now - search.started < defaults.DIRECTORY_SECONDS
-    return bool(nodes) and is_early and len(unknown) > defaults.MAX_ASKED
+    return bool(nodes) and is_early and len(members) > defaults.MAX_ASKED
+
+
+def _waits_for_coverage(
+    search: Search,
+    unknown: list[AgentView],
+    nodes: tuple[str, ...],
+    now: float,
+) -> bool:
+    """Return whether agents of which no node knows all may be known soon.
+
+    Where all nodes have answered, only agents that just began may come in.
+    """
+    if not _waits_for_directory(search, unknown, nodes, now):
+        return False
+    is_answered = search.denied.keys() >= set(nodes)
+    waited = now - search.started
+    return not is_answered or waited < defaults.COVERAGE_SECONDS
+
+
+def _is_node_dark(
+    search: Search,
+    unsure: list[AgentView],
+    nodes: tuple[str, ...],
+) -> bool:
+    """Return whether a node is missing for many agents.
+
+    Its own agent could not deny the flow either, so nobody need be asked.
+    """
+    answers = search.denied.keys()
+    return len(unsure) > defaults.MAX_ASKED and not answers >= set(nodes)
 
 
 def _ask_members(
@@ -157,12 +202,22 @@
     members: list[AgentView],
     now: float,
 ) -> Effects:
-    """Ask the next of some agents that denied nothing."""
+    """Ask the next of some agents that denied nothing.
+
+    One after the other where they are few, since the first ones are likely to
+    know.  Of many, for which no directory speaks, several at once.
+    """
     ranked = _rank(state, members, key, now)
-    for view in ranked:
-        if view.host not in search.asked:
-            return _ask_next(state, search, view.host, now)
-    return _ask_again(state, search, ranked, now)
+    unasked = [view.host for view in ranked if view.host not in search.asked]
+    if not unasked:
+        return _ask_again(state, search, ranked, now)
+    is_many = len(members) > defaults.MAX_ASKED
+    at_once = defaults.ASKED_AT_ONCE if is_many else 1
+    return tuple(
+        effect
+        for host in unasked[:at_once]
+        for effect in _ask_next(state, search, host, now)
+    )
 
 
 def _ask_again(
--- a/tests/packets/test_directory_search.py
+++ b/tests/packets/test_directory_search.py
@@ -57,6 +57,13 @@
             one.envelope.kind for one in effects if isinstance(one, SendToAgent)
         ]
 
+    def list_searched(self, effects: list[Any]) -> list[str]:
+        """Return the agents that are asked for the flow, in order."""
+        search = EnvelopeKind.SEARCH
+        return [
+            one.host for one in effects if self.list_kinds([one]) == [search]
+        ]
+
     def check_no_reset(self, effects: list[Any]) -> None:
         """Fail if a flow is reset."""
         resets = [one for one in effects if isinstance(one, SendReset)]
@@ -208,10 +215,12 @@
             self.now += defaults.LOOKUP_SECONDS
             effects = self.take(TimerFired(self.now))
         packet = make_packet(FLOW, ACK)
-        asked = [effects[0].host]
-        for _ in HOSTS:
-            effects = self.answer(asked[-1], EnvelopeKind.MISS, packet)
-            asked += [one.host for one in effects if self.list_kinds([one])]
+        asked = self.list_searched(effects)
+        self.assertEqual(len(asked), defaults.ASKED_AT_ONCE)
+        for number in range(len(HOSTS)):
+            self.check_no_reset(effects)
+            effects = self.answer(asked[number], EnvelopeKind.MISS, packet)
+            asked += self.list_searched(effects)
         self.assertEqual(sorted(asked), sorted(HOSTS))
         self.assertEqual(effects, [SendReset(packet)])
 
--- a/tests/packets/test_return.py
+++ b/tests/packets/test_return.py
@@ -126,3 +126,15 @@
         self.assertEqual(world.reset_at.keys(), world.names.keys())
         latest = max(world.reset_at.values())
         self.assertLess(latest, STARTING + MOMENT)
+
+    def test_dead_flows_are_reset_before_their_callers_last_copies(
+        self,
+    ) -> None:
+        """Where each agent starts after its upstream, and none knows all."""
+        world = Return()
+        world.agents_start_first = False
+        world.lose_power()
+        world.play(PLAYED)
+        self.assertEqual(world.reset_at.keys(), world.names.keys())
+        latest = max(world.reset_at.values())
+        self.assertLess(latest, SENT[2] * STEP)
