--- a/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/admission.py
@@ -28,7 +28,6 @@
 )
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.flows import Flow, Held
-from keelgap_agent.packets.notices import ask_for_notice
 from keelgap_agent.packets.outcomes.giving_up import give_up_ready
 from keelgap_agent.packets.outcomes.judging import note_opening, note_work
 from keelgap_agent.packets.outcomes.refusing import refuse_ejected
@@ -87,8 +86,7 @@
     note_opening(state, key, event)
     state.cold.note_passed(now)
     passed = state.pass_on(event.sender, envelope)
-    told = (*register(state, key, flow, now), *ask_for_notice(state, event))
-    return (*told, passed)
+    return (*register(state, key, flow, now), passed)
 
 
 def take_waiting(
--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -4,6 +4,7 @@
 
 __all__ = (
     'ANSWER_WEIGHT',
+    'ASK_NOTICE_SECONDS',
     'COLD_WINDOW_SECONDS',
     'COUNT_SECONDS',
     'COVERED_SECONDS',
@@ -22,6 +23,7 @@
     'MAX_HELD_PACKETS',
     'MAX_REGISTERED',
     'MAX_SEEN_REQUESTS',
+    'MAX_UNTOLD',
     'MOST_PACE_SAMPLE',
     'OFFER_SECONDS',
     'OUTAGE_SECONDS',
@@ -149,6 +151,13 @@
 #: several datagrams of one list arrive within a few milliseconds.
 LAG_SECONDS: Final = 0.15
 
+#: Pause between questions of an agent that no balancer has told anything.
+ASK_NOTICE_SECONDS: Final = 0.05
+
+#: New flows that wait for the first notice: those of a second, in which a
+#: balancer surely answers.
+MAX_UNTOLD: Final = 1000
+
 #: Pause between counts of the agents that a directory node speaks for; it
 #: bounds the processor time of lookups, and delays a verdict by as much.
 COUNT_SECONDS: Final = 0.05
--- a/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/notices.py
@@ -6,9 +6,7 @@
 
 from typing import Final
 
-from keelgap.packets.envelopes import EnvelopeKind
 from keelgap.packets.notices import UpstreamNotice, unpack_notice
-from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
 from keelgap_agent.packets.registration import (
@@ -17,8 +15,9 @@
     tell_complete,
 )
 from keelgap_agent.packets.state import AgentState
+from keelgap_agent.packets.untold import release_untold
 
-__all__ = ('ask_for_notice', 'take_notice')
+__all__ = ('take_notice',)
 
 Effects = tuple[AgentEffect, ...]
 _MILLISECONDS: Final = 1000
@@ -26,9 +25,9 @@
 
 def take_notice(state: AgentState, event: EnvelopeArrived) -> Effects:
     """Take what a balancer says; raise MalformedEnvelope."""
-    state.registrar.is_greeted = True
     if not event.envelope.content:
-        return ()
+        # Of an earlier release, which tells nothing.
+        return _end_untold(state, event.now)
     notice = unpack_notice(event.envelope.content)
     if event.envelope.service_tag != state.service_tag:
         # Of a former upstream of another service on this host.
@@ -44,10 +43,19 @@
         # Not from a balancer that is behind.
         warm_at = event.now + notice.warm_up_ms / _MILLISECONDS
         state.cold.take(notice.cold_per_second, warm_at)
+    released = _end_untold(state, event.now)
     is_later = notice.revision >= state.registrar.directory.revision
     if not notice.shards or not is_later:
-        return effects
-    return (*effects, *move(state, notice.directory, event.now))
+        return (*effects, *released)
+    # Flows that waited are registered before their packets pass.
+    moved = move(state, notice.directory, event.now)
+    return (*effects, *moved, *released)
+
+
+def _end_untold(state: AgentState, now: float) -> Effects:
+    """Take the flows that waited for the first notice."""
+    state.registrar.is_greeted = True
+    return release_untold(state, now)
 
 
 def _change_zone(
@@ -65,19 +73,3 @@
     name = 'zone_left' if notice.is_evacuated else 'zone_returned'
     fields = {'revision': notice.revision, 'told_by': sender}
     return (Decided(name, fields),)
-
-
-def ask_for_notice(state: AgentState, event: EnvelopeArrived) -> Effects:
-    """Ask who opens a flow for a notice, if nobody has told yet.
-
-    The next greeting may be a second away.  The answer takes one round trip
-    between processes, and the caller needs one to go on: so its flow is in
-    the directory when a packet of it reaches another balancer.
-    """
-    registrar = state.registrar
-    waited = event.now - registrar.asked_at
-    is_told = registrar.is_greeted or not registrar.own
-    if is_told or waited < defaults.LAG_SECONDS:
-        return ()
-    registrar.asked_at = event.now
-    return (state.send(event.sender, EnvelopeKind.ASK, b''),)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -67,6 +67,12 @@
     take_more,
 )
 from keelgap_agent.packets.state import AgentState
+from keelgap_agent.packets.untold import (
+    ask_again,
+    hold_untold,
+    is_untold,
+    release_untold,
+)
 
 __all__ = ('reduce',)
 
@@ -182,7 +188,8 @@
     if key in state.outcomes.given_up:
         return answer_given_up(state, key, event)
     if envelope.kind in OPENING_KINDS:
-        return take_opening(state, key, event)
+        take = hold_untold if is_untold(state) else take_opening
+        return take(state, key, event)
     if len(state.flows) >= defaults.MAX_FLOWS:
         passed = state.pass_on(event.sender, envelope)
         return passed, Decided('flow_table_full')
@@ -312,6 +319,7 @@
     """Release those who wait, and report what changed."""
     released = release_held(state, now)
     told = (
+        *ask_again(state, now),
         *keep_registered(state, now),
         *ask_lagging(state, now),
         *tell_watchers(state, now),
@@ -382,7 +390,8 @@
 def _stop(state: AgentState, event: StopRequested) -> Effects:
     """Take no new flows, and say so at once."""
     state.stopping_since = event.now
-    released = release_all(state, event.now)
+    refused = release_untold(state, event.now)
+    released = (*refused, *release_all(state, event.now))
     return (*released, *_report_to_all(state, event.now))
 
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from keelgap.packets.directory import NO_DIRECTORY
+from keelgap_agent.packets.events import EnvelopeArrived
 
 __all__ = ('Registrar', 'Stream')
 
@@ -36,9 +37,11 @@
         #: Stands for this start of the process, for some weeks.
         self.boot = int(now * _MILLISECONDS) % _BOOTS
         self.directory = NO_DIRECTORY
-        #: Whether a balancer ever greeted this process.
+        #: Whether a balancer ever told this process of its directory.
         self.is_greeted = False
-        #: When one was asked to.
+        #: Opening packets that wait for that, by key; the latest copy of each.
+        self.untold: dict[bytes, EnvelopeArrived] = {}
+        #: When a balancer was asked to.
         self.asked_at = float('-inf')
         #: Towards each node, by host.
         self.streams: dict[str, Stream] = {}
