--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from tests.soak.__main__ import run_seed
+from tests.soak.__main__ import FIRST_FLEET_SEED, run_seed
 from tests.soak.seeds import FAILED_SEEDS
 
 #: Shorter than by hand, so that CI stays short.
@@ -19,3 +19,9 @@
                 report = run_seed(seed, _FAULT_SECONDS)
                 self.assertEqual(report['broken'], [])
                 self.assertGreater(report['requests'], 0)
+
+    def test_no_promise_of_a_large_fleet_is_broken(self) -> None:
+        """Whose services have flow directories; many programs die at once."""
+        report = run_seed(FIRST_FLEET_SEED + 7, _FAULT_SECONDS)
+        self.assertEqual(report['broken'], [])
+        self.assertGreater(report['requests'], 0)
