--- a/tests/site/test_directory_programs.py
+++ b/tests/site/test_directory_programs.py
@@ -29,6 +29,9 @@
 _MOVES: Final = 4
 _MOVE_SECONDS: Final = 0.3
 _PAUSE_SECONDS: Final = 2.0
+_RELOADS: Final = 6
+_QUICK_MOVES: Final = 20
+_QUICK_SECONDS: Final = 0.05
 
 Scenario = Callable[[World], Awaitable[None]]
 
@@ -100,6 +103,16 @@
         await asyncio.sleep(_PAUSE_SECONDS)
 
 
+async def _reload(world: World) -> None:
+    """Change the settings of all agents, while the routers move flows."""
+    for _ in range(_RELOADS):
+        world.change_settings()
+        for _ in range(_QUICK_MOVES):
+            await asyncio.sleep(_QUICK_SECONDS)
+            world.routers.salt += 1
+        await asyncio.sleep(_QUICK_SECONDS)
+
+
 async def _play(scenario: Scenario, folder: Path) -> list[str]:
     """Return the promises that were broken."""
     world = World(_SEED, folder, fleet=LARGE_FLEET)
@@ -111,7 +124,7 @@
 
 
 class DirectoryProgramTests(TestCase):
-    """24 balancers, 63 agents, and services of 50 and of 13 upstreams."""
+    """24 balancers, 68 agents, and services of 54 and of 14 upstreams."""
 
     def test_flows_outlive_agents_killed_beside_a_young_upstream(self) -> None:
         """Guards flows of an upstream whose agent and directory restart.
@@ -120,6 +133,13 @@
         """
         self.check(_kill_beside_young_upstreams)
 
+    def test_flows_outlive_a_reload_of_their_agents_settings(self) -> None:
+        """Guards flows that open after a reload.
+
+        The agents must go on to register them with their directory.
+        """
+        self.check(_reload)
+
     def check(self, scenario: Scenario) -> None:
         """Play a scenario; its logs stay if a promise was broken."""
         folder = Path(mkdtemp(prefix='keelgap-directory-'))
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -70,6 +70,7 @@
 [upstream]
 service = {service}
 address = {host}:{app}
+first_start = {first_start}
 """
 #: Decisions under hard load, which both programs are told to make.
 FEATURES_INI: Final = """
@@ -123,10 +124,11 @@
     )
 
 
-#: Both services have a flow directory.
+#: Both services have a flow directory.  Five upstreams more than the customer
+#: begins with: with more than 64 agents balancers greet few at once.
 LARGE_FLEET: Final = Fleet(
     24,
-    (*_spread('board', 50), *_spread('proof', 13)),
+    (*_spread('board', 54), *_spread('proof', 14)),
     100,
     is_proxied=False,
     slots=1,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -117,6 +117,8 @@
         """Write settings into the folder; nothing runs yet."""
         self.fleet = fleet
         self.has_features = has_features
+        #: What settings say of the fleet; no harm, since agents may be older.
+        self.is_first_start = False
         self.random = Random(seed)
         self.folder = folder
         self.truth = Truth()
@@ -198,6 +200,14 @@
         program.send(signal.SIGHUP)
         upstream.start()
 
+    def change_settings(self) -> None:
+        """Change a setting of all agents, and tell them."""
+        self.is_first_start = not self.is_first_start
+        for program in self.programs:
+            if program.place.service:
+                self._write_settings(program.place, program.path)
+                program.send(signal.SIGHUP)
+
     def leave_zone(self, zone: str) -> None:
         """Take an availability zone out of service."""
         self.store.put(make_evacuation_key(zone), {})
@@ -272,6 +282,7 @@
             **place._asdict(),
             'seeds': ','.join(seeds),
             'store_host': STORE,
+            'first_start': self.is_first_start,
         }
         # Readers of the file must never see half of it.
         later = path.with_suffix('.new')
