--- a/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/registrar.py
@@ -53,3 +53,13 @@
         self.is_older = False
         #: Whether this process has seen each flow that the upstream holds.
         self.is_complete = False
+
+    def forget_directory(self) -> None:
+        """Begin as one that no balancer has told anything.
+
+        Callers of flows that wait for that repeat their packets.
+        """
+        self.is_greeted = False
+        self.untold = {}
+        self.directory = NO_DIRECTORY
+        self.streams.clear()
--- a/packages/keelgap-agent/src/keelgap_agent/packets/server.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/server.py
@@ -82,7 +82,7 @@
         self.state.registrar.is_complete = (
             is_older and settings.upstream.first_start
         )
-        if not settings.upstream.first_start:
+        if not is_older:
             self.state.cold.note_other_agent()
         self.decisions = DecisionLog(process.lines, process.counters)
         self.upstream_socket = sockets.traffic
@@ -132,7 +132,10 @@
         """Serve another service or upstream from now on."""
         self.settings = settings
         self.upstream = parse_address(settings.upstream.address)
-        self.state.change_service(settings.upstream.service)
+        self.state.change_service(
+            settings.upstream.service,
+            self.loop.clock(),
+        )
         return ('upstream.service', 'upstream.address')
 
     def _read_upstream(self, datagram: bytes, sender: tuple[str, int]) -> None:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from keelgap.catalog.defaults import ENTRY_RETURN_SECONDS
-from keelgap.packets.directory import NO_DIRECTORY
 from keelgap.packets.envelopes import (
     Envelope,
     EnvelopeKind,
@@ -89,11 +88,20 @@
         self.outcomes.has_news = self.features.ejection
         self.pace = Pace()
 
-    def change_service(self, service: str) -> None:
-        """Take no packets of another service any more."""
-        self.service_tag = compute_service_tag(service)
-        self.registrar.streams.clear()
-        self.registrar.directory = NO_DIRECTORY
+    def change_service(self, service: str, now: float) -> None:
+        """Take no packets of another service any more.
+
+        What was told and registered belongs to the former service; nodes of
+        this one may still speak for an earlier time when it was served here.
+        Where the service stays, so does all that: nodes go on to speak for this
+        agent, so it must go on to register.
+        """
+        tag = compute_service_tag(service)
+        if tag == self.service_tag:
+            return
+        self.service_tag = tag
+        self.registrar.forget_directory()
+        self.directory = Directory(now)
 
     def note_stamp(self, stamp: Stamp, now: float) -> None:
         """Take what a balancer knows of the store, to pass it on."""
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -222,6 +222,24 @@
         self.take(TimerFired(self.now))
         self.assertEqual([len(one.keys) for one in self.open(1)], [1, 1])
 
+    def test_reload_of_other_settings_ends_no_registration(self) -> None:
+        """The nodes go on to speak for this agent.
+
+        Guards flows that open between a reload and the next notice.
+        """
+        self.notice()
+        self.state.change_service('board', self.now)
+        self.assertEqual([len(one.keys) for one in self.open(1)], [1, 1])
+
+    def test_another_service_has_another_directory(self) -> None:
+        """New flows wait until a balancer has told of it."""
+        self.notice()
+        self.state.change_service('proof', self.now)
+        self.assertEqual(self.open(1), [])
+        self.assertEqual(self.state.flows, {})
+        registered = self.notice()
+        self.assertEqual([len(one.keys) for one in registered], [1, 1])
+
     def test_older_notice_changes_nothing(self) -> None:
         """A balancer that was frozen wakes with an old view."""
         self.notice()
@@ -460,6 +478,13 @@
         self.take(EnvelopeArrived(self.now, OWN, envelope))
         self.assertEqual(self.look_up(), ())
 
+    def test_node_of_another_service_speaks_for_nobody(self) -> None:
+        """Hosts of the former one may serve this one, too."""
+        self.register()
+        self.assertEqual(self.list_covered(), {OWN})
+        self.state.change_service('proof', self.now)
+        self.assertEqual(self.list_covered(), frozenset())
+
     def test_waiting_balancer_is_told_of_agents_that_come_in(self) -> None:
         """After an outage its verdicts wait for them."""
         self.look_up()
