--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -7,7 +7,7 @@
 from keelgap_agent.packets import reducer as agent_reducer
 from keelgap_agent.packets.flows import Flow
 from keelgap_agent.packets.state import AgentState
-from keelgap_balancer.packets import membership, search, verdicts
+from keelgap_balancer.packets import asking, membership, search, verdicts
 from keelgap_balancer.packets import reducer as balancer_reducer
 from keelgap_balancer.packets.state import PacketState
 from tests.fuzzing import run_machine
@@ -133,7 +133,7 @@
 
 
 DELIBERATE_FAULTS = {
-    'silence that counts as a no': (search, '_ask_again', ask_only_once),
+    'silence that counts as a no': (asking, '_ask_again', ask_only_once),
     'an upstream forgotten with its entry': (
         balancer_reducer,
         'forget_gone',
