--- a/tests/site/test_directory_programs.py
+++ b/tests/site/test_directory_programs.py
@@ -58,7 +58,8 @@
 async def _fill(world: World, upstream: Upstream) -> None:
     """Let flows open at one upstream while all others of its service are full.
 
-    As when one is added under load.
+    As when one is added under load.  Without any flow there the scenario would
+    prove nothing.
     """
     others = [one for one in _list_upstreams(world) if one is not upstream]
     with ExitStack() as stack, suppress(TimeoutError):
@@ -68,6 +69,8 @@
         async with asyncio.timeout(_LONGEST_WAIT):
             while _count_flows(world, upstream) < _FLOWS:
                 await asyncio.sleep(_POLL_SECONDS)
+    if not _count_flows(world, upstream):
+        raise AssertionError('no flow opened at the upstream')
 
 
 def _count_flows(world: World, upstream: Upstream) -> int:
