--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -5,7 +5,14 @@
 import zlib
 
 from standins.packets import (
-    ACK, FIN, RST, SYN, is_genuine, is_system_reset, make, parse,
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    is_genuine,
+    is_system_reset,
+    make,
+    parse,
 )
 
 _OPENING_SECONDS = (0.2, 0.4, 0.8)
--- a/review/standins/programs.py
+++ b/review/standins/programs.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 from pathlib import Path
 
 from standins.client import Routers
@@ -20,6 +21,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 _SECTION = re.compile(r'\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}', re.DOTALL)
 _VALUE = re.compile(r'\{\{([\w.]+)\}\}')
+#: A script may take 120 s; ending its processes takes some.
+_LONGEST_SECONDS = 108.0
 
 
 def fill_in(template, fields):
@@ -292,16 +295,19 @@
 async def _run_case(folder, fronts, play):
     site = Site(folder, fronts)
     loop = asyncio.get_running_loop()
-    # The script's time limit ends with this signal.
     loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     could_run = False
     try:
-        could_run = await play(site)
+        async with asyncio.timeout(_LONGEST_SECONDS):
+            could_run = await play(site)
+    except (TimeoutError, asyncio.CancelledError):
+        site.record.write('it took too long or was told to stop')
+    except Exception:
+        # Not a broken rule, as the status 1 of an uncaught error would say.
+        traceback.print_exc()
+    finally:
         broken = len(site.record.broken)
         site.record.write(f'could run: {could_run}; broken: {broken}')
-    except asyncio.CancelledError:
-        site.record.write('it took too long')
-    finally:
         await site.close()
     if not could_run:
         return 2
--- a/review/standins/target.py
+++ b/review/standins/target.py
@@ -5,7 +5,14 @@
 import re
 
 from standins.packets import (
-    ACK, FIN, RST, SYN, bounce, is_genuine, make, parse,
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    bounce,
+    is_genuine,
+    make,
+    parse,
 )
 
 _ID = re.compile(rb'X-Keelgap-Request-Id: (\S+)')
