--- a/packages/keelgap-agent/src/keelgap_agent/packets/balancers.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/balancers.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from keelgap.packets.envelopes import LoadReport
+from keelgap.packets.envelopes import ROUTES_REPORT_FORMAT, LoadReport
+from keelgap_agent.packets import defaults
 
 __all__ = ('Balancers',)
 
@@ -24,6 +25,8 @@
         self.numbers: dict[str, int] = {}
         #: When each balancer last subscribed to load reports.
         self.subscribers: dict[str, float] = {}
+        #: When each balancer last sent a notice, with or without subscribing.
+        self.polled_at: dict[str, float] = {}
         #: The report format that each balancer reads, if it stated one.
         self.report_formats: dict[str, int] = {}
         #: Balancers that offered a flow since the last reports.
@@ -32,6 +35,22 @@
         self.last_report: LoadReport | None = None
         self.last_report_at = now
 
+    def list_polling(self, now: float) -> tuple[str, ...]:
+        """Return the balancers that sent a notice lately; forget others.
+
+        Those of earlier releases, which do not read HeldRoutes, are left out.
+        """
+        self.polled_at = {
+            host: polled_at
+            for host, polled_at in self.polled_at.items()
+            if now - polled_at <= defaults.SUBSCRIPTION_SECONDS
+        }
+        return tuple(
+            host
+            for host in self.polled_at
+            if self.report_formats.get(host, 0) >= ROUTES_REPORT_FORMAT
+        )
+
     def make_mark(self, host: str, hop: int, kind: int) -> int:
         """Return a packet mark with the balancer, hop and envelope kind."""
         number = self.numbers.get(host)
--- a/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/defaults.py
@@ -16,6 +16,8 @@
     'STARTUP_REGISTER_SECONDS',
     'INITIAL_SLOTS',
     'MAX_FLOW_AGE_SECONDS',
+    'MAX_ROUTE_SERVICES',
+    'ROUTE_SERVICE_SECONDS',
     'IDLE_FLOW_SECONDS',
     'MAX_QUEUED_PER_SLOT',
     'MAX_FLOWS',
@@ -173,6 +175,14 @@
 #: 60 s.
 MAX_FLOW_AGE_SECONDS: Final = 75.0
 
+#: How long a service counts as holding flows of a route after a balancer told
+#: so: the maximum age of these flows, and some pauses between two messages.
+ROUTE_SERVICE_SECONDS: Final = 90.0
+
+#: Maximum number of pairs of a route and such a service.  At 200 octets each
+#: this is 0.8 MB.
+MAX_ROUTE_SERVICES: Final = 4096
+
 #: Maximum number of flows registered by other agents.  At 200 octets each they
 #: take 10 MB of the 64 MB that a node may use.  64 agents with 14 new flows per
 #: second each register 58,000 flows in the 65 s of a generation.
--- a/packages/keelgap-agent/src/keelgap_agent/packets/directory.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/directory.py
@@ -18,6 +18,7 @@
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.effects import AgentEffect, Decided
 from keelgap_agent.packets.events import EnvelopeArrived
+from keelgap_agent.packets.route_services import precede_denial
 from keelgap_agent.packets.state import AgentState
 
 __all__ = (
@@ -67,9 +68,10 @@
     content = pack_lookup_response(LookupResponse(directory.digest, rows))
     found = state.send(event.sender, EnvelopeKind.FOUND, content)
     directory.watchers[event.sender] = now + defaults.WATCHER_TIMEOUT_SECONDS
+    answer = precede_denial(state, found, request.keys)
     if request.digest == directory.digest:
-        return (*updated, found)
-    return (*updated, *_send_coverage(state, event.sender), found)
+        return (*updated, *answer)
+    return (*updated, *_send_coverage(state, event.sender), *answer)
 
 
 def _send_coverage(state: AgentState, host: str) -> Effects:
--- a/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/reducer.py
@@ -9,7 +9,8 @@
     EnvelopeKind,
 )
 from keelgap.packets.exceptions import MalformedEnvelope
-from keelgap.packets.formats import ENDS_FLOW, Flags
+from keelgap.packets.formats import ENDS_FLOW, Flags, get_route_key
+from keelgap.packets.route_services import pack_held_routes
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.admission import (
     admit_opening,
@@ -17,6 +18,7 @@
     release_all,
     release_queued,
 )
+from keelgap_agent.packets.bounces import return_bounced_packet
 from keelgap_agent.packets.directory import (
     handle_lookup,
     handle_registration,
@@ -68,8 +70,10 @@
     log_request_started,
     log_requests_unanswered,
 )
+from keelgap_agent.packets.route_services import (
+    handle_route_services,
+)
 from keelgap_agent.packets.scheduling.subsequent_requests import (
-    handle_bounce,
     handle_flow_end,
     handle_subsequent_packet,
     must_queue,
@@ -118,8 +122,10 @@
 def _answer_ask(state: AgentState, event: EnvelopeArrived) -> Effects:
     """Apply the notice in an envelope, and reply with a load report."""
     state.balancers.report_formats[event.sender] = event.envelope.hop
+    state.balancers.polled_at[event.sender] = event.now
     handled = handle_notice(state, event)
-    return (make_report_to(state, event.sender), *handled)
+    report = make_report_to(state, event.sender, with_routes=True)
+    return (report, *handled)
 
 
 def _handle_packet(state: AgentState, event: EnvelopeArrived) -> Effects:
@@ -255,7 +261,7 @@
     datagram = event.datagram
     flags = state.format.flags(datagram)
     if flags & _BOUNCED:
-        return _return_bounced_packet(state, datagram, event.now)
+        return return_bounced_packet(state, datagram, event.now)
     now = event.now
     key = state.format.upstream_key(datagram)
     if key in state.outcomes.abandoned_flows:
@@ -269,7 +275,10 @@
     flow.last_seen_at = now
     flow.confirmed = True
     record_opening_reply(state, key, flow, datagram)
-    owned = _answer_search(state, key, flow)
+    owned = (
+        *_record_held_route(state, key, now),
+        *_answer_search(state, key, flow),
+    )
     if not flow.is_registered and key in state.flows:
         owned = (*owned, *register_flow(state, key, flow, now))
     answered = _record_answer(state, key, flow, datagram, now)
@@ -280,6 +289,22 @@
     return (SendToCaller(datagram), *owned, *answered, *dequeued, *released)
 
 
+def _record_held_route(state: AgentState, key: bytes, now: float) -> Effects:
+    """Record the route of a flow that the upstream holds.
+
+    If it is new, tell it to all balancers that polled this agent lately.  The
+    table may send the route elsewhere, and another balancer may get the next
+    packet of the flow.
+    """
+    if not state.routes.record_held(get_route_key(key)):
+        return ()
+    content = pack_held_routes(state.list_held_routes())
+    return tuple(
+        state.send(host, EnvelopeKind.HELD_ROUTES, content)
+        for host in state.balancers.list_polling(now)
+    )
+
+
 def _answer_search(state: AgentState, key: bytes, flow: Flow) -> Effects:
     """Tell the balancer that searched for the flow that it is owned here."""
     searched_by = flow.searched_by
@@ -316,33 +341,6 @@
     return (*answered, *classified)
 
 
-def _return_bounced_packet(
-    state: AgentState, datagram: bytes, now: float
-) -> Effects:
-    """Return a bounced packet to its balancer, and remove the flow."""
-    host, hop, kind = state.balancers.read_mark(state.format.mark(datagram))
-    packet = state.format.without_bounce(datagram)
-    key = state.format.caller_key(packet)
-    if key in state.outcomes.abandoned_flows:
-        return drop_abandoned_packet()
-    lost = handle_bounce(state, key, packet, now)
-    state.forget(key)
-    if host is None:
-        dropped = Decided('drop_bounce_unknown_mark')
-        return (dropped, *lost, *release_queued(state, now))
-    bounced = Decided(f'bounced_{_KIND_NAMES.get(kind, "unknown")}')
-    if kind in OPENING_KINDS:
-        fields = {
-            'flow': state.format.describe_key(key),
-            'hop': hop,
-            'busy': state.busy,
-            'flows': len(state.flows),
-        }
-        bounced = bounced._replace(fields=fields)
-    miss = state.send(host, EnvelopeKind.MISS, packet, hop)
-    return (miss, bounced, *lost, *release_queued(state, now))
-
-
 def _handle_timer(state: AgentState, event: TimerFired) -> Effects:
     """Detect timeouts, remove old flows, and send what is due."""
     now = event.now
@@ -350,6 +348,7 @@
     if now - state.swept_at >= defaults.SWEEP_INTERVAL_SECONDS:
         state.swept_at = now
         state.directory.expire(now)
+        state.routes.expire_services(now)
         effects = (*effects, *_sweep(state, now))
     return (*effects, *_release_and_report(state, now))
 
@@ -415,6 +414,11 @@
             log_requests_unanswered(state, key, state.flows[key], 'silent'),
         )
         state.forget(key)
+    state.routes.update_held(
+        get_route_key(flow_key)
+        for flow_key, flow in state.flows.items()
+        if flow.confirmed
+    )
     return tuple(effects)
 
 
@@ -438,10 +442,6 @@
     return (*released, *_send_all_reports(state, event.now))
 
 
-_KIND_NAMES: Final = MappingProxyType({
-    int(kind): kind.name.lower() for kind in EnvelopeKind
-})
-
 _ENVELOPE_HANDLERS: Final[
     Mapping[int, Callable[[AgentState, EnvelopeArrived], Effects]]
 ] = MappingProxyType({
@@ -454,6 +454,7 @@
     int(EnvelopeKind.REGISTER): handle_registration,
     int(EnvelopeKind.RESYNC): handle_resync,
     int(EnvelopeKind.LOOKUP): handle_lookup,
+    int(EnvelopeKind.ROUTE_SERVICES): handle_route_services,
 })
 
 _HANDLERS: Final[Mapping[type, Callable[[AgentState, Any], Effects]]] = (
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -12,6 +12,7 @@
 )
 from keelgap.packets.features import NO_FEATURES, Features
 from keelgap.packets.formats import PacketFormat
+from keelgap.packets.route_services import HeldRoutes
 from keelgap_agent.packets import defaults
 from keelgap_agent.packets.balancers import Balancers
 from keelgap_agent.packets.capacity import CapacityEstimate
@@ -24,6 +25,7 @@
 from keelgap_agent.packets.flows import Flow, QueuedRequest
 from keelgap_agent.packets.outlier_ejection.state import OutcomeTracker
 from keelgap_agent.packets.registrar import Registrar
+from keelgap_agent.packets.routes import AgentRoutes
 from keelgap_agent.packets.scheduling.workload import Workload
 from keelgap_agent.packets.service_time import ServiceTimeEstimator
 from keelgap_agent.packets.warm_up_limiter import WarmUpLimiter
@@ -51,6 +53,7 @@
         self.service_tag = compute_service_tag(service)
         self.balancers = Balancers(now)
         self.flows: dict[bytes, Flow] = {}
+        self.routes = AgentRoutes()
         self.registrar = Registrar(own_host, now)
         self.directory = DirectoryNode(now)
         self.capacity = CapacityEstimate(now)
@@ -112,6 +115,7 @@
         self.service_tag = tag
         self.registrar.reset_directory()
         self.directory = DirectoryNode(now)
+        self.routes.services = {}
 
     def record_stamp(self, stamp: Stamp, now: float) -> None:
         """Record an envelope's stamp: what its sender knows of the store.
@@ -265,6 +269,18 @@
             self.outcomes.untrack(flow.in_flight_request)
             flow.in_flight_request = None
 
+    def list_held_routes(self) -> HeldRoutes:
+        """Return the routes of the flows that the upstream has shown to hold.
+
+        They are incomplete if an agent process before this one, or a full table
+        of flows, may have left flows unknown here.
+        """
+        knows_all = len(self.flows) < defaults.MAX_FLOWS
+        return HeldRoutes(
+            self.registrar.is_complete and knows_all,
+            tuple(self.routes.held),
+        )
+
     def forget(self, key: bytes) -> None:
         """Remove a flow and everything recorded about it."""
         self.queued.pop(key, None)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/catalog_changes.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/catalog_changes.py
@@ -9,12 +9,27 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.directory_client import rebuild_directories
 from keelgap_balancer.packets.effects import Decided, PacketEffect
+from keelgap_balancer.packets.held_routes import (
+    rebuild_untold,
+    select_unserved,
+    tell_moved,
+)
 from keelgap_balancer.packets.notices import notify_zones
+from keelgap_balancer.packets.route_services import (
+    list_former_routes,
+    log_moved,
+    record_replaced,
+)
 from keelgap_balancer.packets.state import FormerRoute, PacketState
 from keelgap_balancer.packets.unlisted_agents import record_displaced
 from keelgap_balancer.packets.views import AgentView
 
-__all__ = ('change_catalog', 'forget_former_routes', 'forget_missing_upstreams')
+__all__ = (
+    'apply_unserved',
+    'change_catalog',
+    'forget_former_routes',
+    'forget_missing_upstreams',
+)
 
 Effects = tuple[PacketEffect, ...]
 
@@ -29,8 +44,14 @@
     Removed routes and upstreams are kept for a while, so that their open
     flows are still found.
     """
+    moved: frozenset[bytes] = frozenset()
+    former = list_former_routes(state)
     if catalog.routes.version != state.catalog.routes.version:
-        _apply_routes(state, catalog, now)
+        moved = _apply_routes(state, catalog, now)
+    unserved = select_unserved(state, catalog.unserved)
+    if unserved:
+        served = {**catalog.upstreams, **unserved}
+        catalog = catalog._replace(upstreams=served)
     before = state.catalog
     state.catalog = catalog
     state.confirmed_revision = max(state.confirmed_revision, catalog.revision)
@@ -47,10 +68,25 @@
     return (
         *effects,
         *rebuild_directories(state, now),
+        *log_moved(state, former, moved),
+        *tell_moved(state, former, moved, now),
         *_report_zone_changes(state, before, now),
     )
 
 
+def apply_unserved(state: PacketState, now: float) -> Effects:
+    """Apply the upstreams of services that are now known to hold flows.
+
+    Their services are not in the operators' table.
+    """
+    catalog = state.catalog
+    wanted = select_unserved(state, catalog.unserved)
+    if wanted.keys() <= catalog.upstreams.keys():
+        return ()
+    unchanged = catalog._replace(missed=(), has_gap=False)
+    return change_catalog(state, unchanged, now)
+
+
 def _report_zone_changes(
     state: PacketState,
     before: Catalog,
@@ -81,8 +117,17 @@
     state: PacketState,
     catalog: Catalog,
     now: float,
-) -> None:
-    """Index the routes by key, and keep removed ones for their open flows."""
+) -> frozenset[bytes]:
+    """Index the routes by key, and keep what their open flows need.
+
+    That is removed routes, and the services that the others had before.
+    Returns the keys of routes that got other services.
+    """
+    if not state.has_catalog:
+        state.catalog_gaps.route_services.first_table_revision = (
+            catalog.routes.revision
+        )
+    former_routes = list_former_routes(state)
     make_key = state.format.make_route_key
     routes = {
         make_key(route.host, route.port): route
@@ -94,6 +139,7 @@
     for key in routes:
         state.former_routes.pop(key, None)
     state.routes = routes
+    return record_replaced(state, former_routes, now)
 
 
 def _apply_upstreams(
@@ -242,6 +288,7 @@
     _forget_answers(state, agents_by_host)
     state.agents_by_host = agents_by_host
     state.catalog_gaps.uncovered_agents.clear()
+    rebuild_untold(state)
     state.polling.zone_agent_count = sum(
         map(state.is_same_zone, agents_by_host.values())
     )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/dead_flows.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/dead_flows.py
@@ -17,6 +17,14 @@
     SendReset,
 )
 from keelgap_balancer.packets.flow_search import FlowSearch
+from keelgap_balancer.packets.held_routes import (
+    awaits_held_routes,
+    list_unsure_agents,
+)
+from keelgap_balancer.packets.route_services import (
+    is_listed_here,
+    list_services,
+)
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted_agents import find_agent, list_unlisted
 from keelgap_balancer.packets.views import AgentView
@@ -33,41 +41,70 @@
 Effects = tuple[PacketEffect, ...]
 
 
-def serves_route(view: AgentView, route: PacketRoute) -> bool:
+def serves_route(
+    state: PacketState,
+    view: AgentView,
+    route: PacketRoute,
+) -> bool:
     """Return whether an upstream may hold flows of a route."""
-    return any(share.service == view.upstream.service for share in route.shares)
+    return view.upstream.service in list_services(state, route)
 
 
 def list_route_agents(
     state: PacketState, route: PacketRoute
 ) -> list[AgentView]:
-    """Return the agents that may serve a route, listed or unlisted.
+    """Return the agents that may hold flows of a route.
 
-    See ``unlisted_agents``.
+    See ``route_services`` and ``unlisted_agents``.
     """
+    services = list_services(state, route)
     listed = [
         view
-        for share in route.shares
-        for view in state.agents_by_service.get(share.service, ())
+        for service in services
+        for view in state.agents_by_service.get(service, ())
+    ]
+    return [
+        *listed,
+        *list_unlisted(state, route),
+        *list_unsure_agents(state, services),
     ]
-    return [*listed, *list_unlisted(state, route)]
 
 
 def list_directory_nodes(
     state: PacketState,
     route: PacketRoute,
     key: bytes,
+    now: float,
 ) -> tuple[str, ...]:
-    """Return the hosts of the directory nodes responsible for a flow."""
+    """Return the hosts of the directory nodes responsible for a flow.
+
+    Those of services that the table does not list for the route are left out
+    if they were given up.
+    """
     directories = (
-        state.directories.get(share.service) for share in route.shares
+        state.directories.get(service)
+        for service in list_services(state, route)
     )
-    return tuple(
+    nodes = (
         node
         for directory in directories
         if directory is not None
         for node in choose_nodes(directory, key)
     )
+    return tuple(
+        node
+        for node in nodes
+        if node not in state.agents_by_host
+        or not _is_passed_over(state.agents_by_host[node], route, now)
+    )
+
+
+def _is_passed_over(view: AgentView, route: PacketRoute, now: float) -> bool:
+    """Return whether a verdict on a flow does not wait for an agent.
+
+    An agent of another service must not hold up all verdicts for ever.
+    """
+    return view.is_given_up(now) and not is_listed_here(view, route)
 
 
 def list_unknown_hosts(
@@ -91,11 +128,13 @@
     route: PacketRoute,
     directory_nodes: tuple[str, ...],
     required_denials: int,
+    now: float,
 ) -> list[AgentView]:
     """Return the agents that may still hold a flow.
 
     An agent is ruled out if it denied the flow itself, or if at least
-    ``required_denials`` of the directory nodes that cover it did.
+    ``required_denials`` of the directory nodes that cover it did, or if it
+    serves another service and was given up.
     """
     denying_nodes = tuple(
         host
@@ -106,7 +145,12 @@
     candidates = dict.fromkeys(
         (*uncovered, *_list_named_owners(state, route, search)),
     )
-    return [view for view in candidates if view.host not in search.denied_by]
+    return [
+        view
+        for view in candidates
+        if view.host not in search.denied_by
+        and not _is_passed_over(view, route, now)
+    ]
 
 
 def _is_denial_current(
@@ -145,7 +189,8 @@
     node_digests = tuple(
         (host, state.directory_nodes[host].digest) for host in denying_nodes
     )
-    key = (route.shares, node_digests, required_denials)
+    services = list_services(state, route)
+    key = (services, node_digests, required_denials)
     agents = state.catalog_gaps.uncovered_agents.get(key)
     if agents is None:
         covered = [
@@ -177,8 +222,10 @@
     The catalog in force may lack the upstream that holds the flow, because it
     started a moment ago or because its entry lapsed before this process read
     it.  The search is suspended then until all changes that this process knows
-    of by now have been read and lapsed entries may have been renewed.  Agents
-    that appear in the meantime are queried.
+    of by now have been read and lapsed entries may have been renewed.  Shortly
+    after the start it is also suspended until the agents of other services have
+    told of which routes they hold flows.  Agents that appear in the meantime
+    are queried.
     """
     if not search.query_count:
         # Nobody was asked, so nothing proves that the flow is dead.
@@ -205,6 +252,9 @@
     may_lack = search.may_lack_entries and state.is_newly_started(now)
     if may_lack or state.is_after_catalog_gap(now):
         return _await_entries(search, fields, now)
+    if awaits_held_routes(state, route):
+        search.awaits_held_routes = True
+        return _log_once(search, 'verdict_waits_for_routes', fields)
     state.searches.pop(key, None)
     state.caller_waits.record_reset(key, now, now - search.started_at)
     return SendReset(search.latest_packet), Decided('reset_dead_flow', fields)
@@ -223,6 +273,7 @@
     }
     return {
         'members': len(list_route_agents(state, route)),
+        'services': list_services(state, route),
         'nodes': directory_nodes,
         'denied_by': len(search.denied_by),
         'denied_by_hosts': sorted(search.denied_by)[:MAX_LISTED],
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -87,8 +87,19 @@
     'TRANSIT_JITTER_SECONDS',
     'WARM_UP_SLOT_SHARE',
     'UNLISTED_SECONDS',
+    'ANNOUNCEMENT_SECONDS',
+    'HELD_ROUTES_WAIT_SECONDS',
+    'GIVEN_UP_SECONDS',
+    'MOVE_TELLERS',
+    'MAX_UNSURE_AGENTS',
+    'UNANSWERED_SECONDS',
+    'MAX_ROUTE_SERVICES',
+    'MAX_ROUTE_SERVICE_MESSAGES',
+    'ROUTE_SERVICES_INTERVAL_SECONDS',
+    'ROUTE_SERVICES_SWEEP_SECONDS',
     'WITHDRAW_DELAY_SECONDS',
     'MAX_STARTUP_REPORTS',
+    'MAX_FIRST_REPORTS',
 )
 
 #: Interval of the timer.
@@ -98,8 +109,8 @@
 #: have to be searched for again.
 FLOW_GENERATION_SECONDS: Final = 30.0
 
-#: How long open flows of a removed route are still found.  The platform allows
-#: flows older than 60 s to be discarded.
+#: How long open flows of a removed route, or of a former service of a route,
+#: are still found.  The platform allows flows older than 60 s to be discarded.
 FORMER_ROUTE_SECONDS: Final = 90.0
 
 #: Maximum number of owners that are kept.  At 200 octets each this is 20 MB of
@@ -239,6 +250,47 @@
 #: long.
 UNLISTED_SECONDS: Final = 18.0
 
+#: Maximum number of pairs of a route and a service that holds flows of it
+#: without being listed for it.  At 150 octets each this is 0.6 MB.
+MAX_ROUTE_SERVICES: Final = 4096
+
+#: Maximum messages about such pairs to another balancer at once.  They have
+#: 120 pairs each.
+MAX_ROUTE_SERVICE_MESSAGES: Final = 8
+
+#: Pause between two messages about such a pair to the agents of the route.
+ROUTE_SERVICES_INTERVAL_SECONDS: Final = 5.0
+
+#: Maximum number of agents of other services that are asked for each unknown
+#: flow because they restarted beside their upstreams, which may hold flows of
+#: any earlier table.  They are asked SEARCH_FANOUT at a time.
+MAX_UNSURE_AGENTS: Final = 256
+
+#: In a fleet of more than MAX_POLLED_AGENTS agents, the share of balancers that
+#: tell the agents of a route at once of its former services is this number
+#: divided by that of the agents.  At the size to design for these are ten.
+MOVE_TELLERS: Final = 64
+
+#: Pause between two removals of pairs that are too old.
+ROUTE_SERVICES_SWEEP_SECONDS: Final = 1.0
+
+#: Maximum time between a message that names the services of a route and the
+#: denial that depends on it.  They are sent one after the other.
+ANNOUNCEMENT_SECONDS: Final = 0.5
+
+#: How long after its first catalog a balancer waits for agents of other
+#: services to tell the routes that they hold, in a fleet in which it polls only
+#: some.  Other balancers poll the rest in this time and pass it on.
+HELD_ROUTES_WAIT_SECONDS: Final = 1.5
+
+#: An agent that leaves queries for flows, or the first polls, unanswered for
+#: this long does not hold up verdicts on flows of routes that do not lead to
+#: its service.  It is longer than the planned restart of an agent.
+UNANSWERED_SECONDS: Final = 10.0
+
+#: How long such an agent is given up before it is queried again.
+GIVEN_UP_SECONDS: Final = 10.0
+
 #: How long after its first catalog a balancer asks the balancers that it hears
 #: from for the hosts that they list.  It has heard from all of a small fleet
 #: after a few rounds.
@@ -270,6 +322,10 @@
 #: twice as many.
 MAX_STARTUP_REPORTS: Final = 6
 
+#: Maximum number of reports of an upstream whose entry surely never lapsed.  An
+#: entry lapses when three reports in a row were missed.
+MAX_FIRST_REPORTS: Final = 3
+
 #: Pause between two gossip rounds.
 GOSSIP_INTERVAL_SECONDS: Final = 0.5
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/directory_client.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/directory_client.py
@@ -126,6 +126,9 @@
     node = state.directory_nodes.setdefault(event.sender, DirectoryNodeView())
     node.lookup_sent_at = None
     node.was_lookup_repeated = False
+    view = state.agents_by_host.get(event.sender)
+    if view is not None:
+        view.record_search_answer()
     return response, send_queued_lookups(state, event.sender, node, event.now)
 
 
@@ -190,5 +193,6 @@
         node.queued_keys.pop(key)
     node.lookup_sent_at = now
     view.expect_answer(now)
+    view.expect_search_answer(now)
     request = LookupRequest(node.digest, keys)
     return (view.send(EnvelopeKind.LOOKUP, pack_lookup_request(request)),)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/flow_search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/flow_search.py
@@ -15,6 +15,7 @@
         'declined_by',
         'last_packet_at',
         'awaits_catalog',
+        'awaits_held_routes',
         'awaiting_entries_since',
         'late_declines',
         'latest_packet',
@@ -30,6 +31,7 @@
         'started_at',
         'logged_waits',
         'queried_nodes',
+        'queried_tags',
     )
 
     def __init__(self, now: float) -> None:
@@ -53,6 +55,9 @@
         #: Since when the search is suspended until lapsed catalog entries may
         #: have been renewed.
         self.awaiting_entries_since: float | None = None
+        #: Whether the search is suspended until agents of other services have
+        #: told of which routes they hold flows.
+        self.awaits_held_routes = False
         #: Names of the events already logged when the search was suspended.
         self.logged_waits: set[str] = set()
         #: Whether an agent reported that the store may lack the entries of
@@ -60,6 +65,8 @@
         self.may_lack_entries = False
         #: Hosts that were sent a SEARCH envelope, in order.
         self.queried_hosts: list[str] = []
+        #: The tag of the service as whose agent each host was queried last.
+        self.queried_tags: dict[str, int] = {}
         #: Hosts that denied the open flow with a MISS envelope.
         self.denied_by: set[str] = set()
         #: Hosts that declined the opening packet.  They may have accepted a
@@ -132,8 +139,12 @@
 
     @property
     def is_suspended(self) -> bool:
-        """Return whether no query is sent until the catalog is up to date."""
-        return self.awaits_catalog or self.awaiting_entries_since is not None
+        """Return whether no query is sent until more is known of owners."""
+        return (
+            self.awaits_catalog
+            or self.awaits_held_routes
+            or self.awaiting_entries_since is not None
+        )
 
     def has_unanswered_lookup(self, node: str) -> bool:
         """Return whether a queried directory node gave no usable answer."""
@@ -142,5 +153,6 @@
     def end_suspension(self, now: float) -> None:
         """Allow queries again, with the time limit of a new search."""
         self.awaits_catalog = False
+        self.awaits_held_routes = False
         self.awaiting_entries_since = None
         self.active_since = now
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/notices.py
@@ -11,10 +11,11 @@
 from keelgap.packets.notices import UpstreamNotice, pack_notice
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import PacketEffect
+from keelgap_balancer.packets.events import EnvelopeArrived
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.views import AgentView
 
-__all__ = ('make_notice', 'notify_zones')
+__all__ = ('make_notice', 'notify_zones', 'send_notice')
 
 Effects = tuple[PacketEffect, ...]
 _MILLISECONDS: Final = 1000
@@ -72,3 +73,16 @@
         if view.upstream.availability_zone in zones
         and (is_small or state.is_same_zone(view))
     )
+
+
+def send_notice(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+) -> Effects:
+    """Answer an agent that has just started with a notice.
+
+    The notice tells it what the catalog holds on its upstream and service.
+    """
+    notice = make_notice(state, view, event.now)
+    return (view.send(EnvelopeKind.ASK, notice, REPORT_FORMAT),)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/owner_queries.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/owner_queries.py
@@ -6,14 +6,23 @@
 from keelgap.packets.directory import REPLICAS
 from keelgap.packets.envelopes import EnvelopeKind
 from keelgap_balancer.packets import defaults
-from keelgap_balancer.packets.dead_flows import list_possible_owners
+from keelgap_balancer.packets.dead_flows import (
+    list_possible_owners,
+    serves_route,
+)
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.flow_search import FlowSearch
+from keelgap_balancer.packets.route_services import is_listed_here
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted_agents import find_agent
 from keelgap_balancer.packets.views import AgentView
 
-__all__ = ('send_query', 'query_host', 'query_candidates')
+__all__ = (
+    'query_as_other_service',
+    'query_candidates',
+    'query_host',
+    'send_query',
+)
 
 Effects = tuple[PacketEffect, ...]
 
@@ -33,21 +42,23 @@
     Agents for which no directory node denied the flow come first, then those
     for which only one node did.
     """
-    undenied = list_possible_owners(state, search, route, directory_nodes, 1)
+    undenied = list_possible_owners(
+        state, search, route, directory_nodes, 1, now
+    )
     if undenied:
         if _awaits_coverage(search, undenied, directory_nodes, now):
             return ()
-        return _query_agents(state, search, key, undenied, now)
+        return _query_agents(state, search, route, key, undenied, now)
     # One node may have missed a registration, or not received it yet.
     unconfirmed = list_possible_owners(
-        state, search, route, directory_nodes, REPLICAS
+        state, search, route, directory_nodes, REPLICAS, now
     )
     if not unconfirmed:
         return None
     is_early = _awaits_directory(search, unconfirmed, directory_nodes, now)
     if is_early or _is_node_unresponsive(search, unconfirmed, directory_nodes):
         return ()
-    return _query_agents(state, search, key, unconfirmed, now)
+    return _query_agents(state, search, route, key, unconfirmed, now)
 
 
 def _awaits_directory(
@@ -103,6 +114,7 @@
 def _query_agents(
     state: PacketState,
     search: FlowSearch,
+    route: PacketRoute,
     key: bytes,
     agents: list[AgentView],
     now: float,
@@ -113,7 +125,7 @@
     likely owners.  Of many agents that the directory does not cover, several
     are queried at once.
     """
-    ranked = _rank_agents(state, agents, key, now)
+    ranked = _rank_agents(state, route, agents, key, now)
     unqueried = [
         view.host for view in ranked if view.host not in search.queried_hosts
     ]
@@ -167,13 +179,44 @@
     view = None if route is None else find_agent(state, route, host)
     if view is None:
         return (Decided('search_agent_unknown'),)
+    return _send_query_to(search, view, datagram)
+
+
+def _send_query_to(
+    search: FlowSearch,
+    view: AgentView,
+    datagram: bytes,
+) -> Effects:
     view.expect_answer(search.pending_since)
+    view.expect_search_answer(search.pending_since)
+    search.queried_tags[view.host] = view.service_tag
     hop = len(search.queried_hosts)
     return (view.send(EnvelopeKind.SEARCH, datagram, hop),)
 
 
+def query_as_other_service(
+    state: PacketState,
+    search: FlowSearch,
+    route: PacketRoute,
+    view: AgentView,
+) -> Effects | None:
+    """Query an agent again that denied a flow as the agent of another service.
+
+    Its host may have been queried as an agent of a former service of the
+    route, and may serve the present one, or the other way round.  Returns None
+    if the denial counts.
+    """
+    queried_tag = search.queried_tags.get(view.host)
+    if queried_tag is None or queried_tag == view.service_tag:
+        return None
+    if not serves_route(state, view, route):
+        return None
+    return _send_query_to(search, view, search.latest_packet)
+
+
 def _rank_agents(
     state: PacketState,
+    route: PacketRoute,
     agents: list[AgentView],
     key: bytes,
     now: float,
@@ -181,12 +224,14 @@
     """Return the agents that may hold a flow, the most likely ones first.
 
     Agents without a catalog entry and unresponsive ones come last, since each
-    costs a timeout.
+    costs a timeout; before them come agents of services that the table does not
+    list for the route.
     """
     return sorted(
         agents,
         key=lambda view: (
             view.missing_since is not None or view.is_unresponsive(now),
+            not is_listed_here(view, route),
             not state.is_same_zone(view),
             xxh3_64_intdigest(key, view.start_hash),
         ),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/owner_search.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/owner_search.py
@@ -10,12 +10,14 @@
 from collections.abc import Iterable
 
 from keelgap.catalog.models import PacketRoute
+from keelgap.packets.formats import get_route_key
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.dead_flows import (
     conclude_search,
     list_directory_nodes,
     list_route_agents,
     list_unknown_hosts,
+    serves_route,
 )
 from keelgap_balancer.packets.directory_client import (
     handle_coverage,
@@ -31,16 +33,20 @@
 from keelgap_balancer.packets.events import EnvelopeArrived
 from keelgap_balancer.packets.flow_search import FlowSearch
 from keelgap_balancer.packets.owner_queries import (
+    query_as_other_service,
     query_candidates,
     query_host,
     send_query,
 )
+from keelgap_balancer.packets.route_services import is_announced
 from keelgap_balancer.packets.state import PacketState
+from keelgap_balancer.packets.views import AgentView
 
 __all__ = (
     'continue_search',
     'resume_search',
     'continue_overdue_searches',
+    'resume_after_denial',
     'resume_answered',
     'resume_denied',
     'search_for_owner',
@@ -97,7 +103,7 @@
     for host in search.named_owners:
         if host not in search.denied_by and host not in search.queried_hosts:
             return query_host(state, search, host, now)
-    directory_nodes = list_directory_nodes(state, route, key)
+    directory_nodes = list_directory_nodes(state, route, key, now)
     lookup = _query_next_node(state, search, directory_nodes, key, now)
     if lookup or search.pending_lookups:
         return lookup
@@ -166,19 +172,73 @@
             continue
         search.pending_lookups.discard(event.sender)
         search.may_lack_entries |= event.stamp.may_lack_entries
-        unknown_hosts = list_unknown_hosts(state, search, hosts)
-        if unknown_hosts:
+        if hosts or is_announced(state, event, get_route_key(key)):
             effects.extend(
-                _await_owner_entry(state, search, key, unknown_hosts)
+                _record_answer(state, event, response.digest, key, hosts)
             )
-            continue
-        search.named_owners.extend(hosts)
-        search.answer_digests[event.sender] = response.digest
-        if search.pending_host is None:
-            effects.extend(resume_search(state, search, key, event.now))
+        else:
+            effects.append(Decided('drop_unannounced_denial'))
     return tuple(effects)
 
 
+def resume_after_denial(
+    state: PacketState,
+    event: EnvelopeArrived,
+    view: AgentView,
+    route: PacketRoute,
+) -> Effects:
+    """Record that an agent denied an open flow, and resume the search for it.
+
+    The denial does not count if it depends on a message that was lost, or if
+    the agent was queried as one of another service than it serves.
+    """
+    datagram = event.envelope.content
+    key = state.format.caller_key(datagram)
+    view.record_search_answer()
+    search = state.searches.setdefault(key, FlowSearch(event.now))
+    if not is_announced(state, event, get_route_key(key)):
+        return _drop_denial(search, view)
+    queried_again = query_as_other_service(state, search, route, view)
+    if queried_again is not None:
+        return queried_again
+    search.denied_by.add(view.host)
+    if not search.query_count and serves_route(state, view, route):
+        # The packet had been forwarded to the cached owner, which returned it;
+        # that counts as the first query.
+        search.query_count = 1
+    search.may_lack_entries |= event.stamp.may_lack_entries
+    if search.pending_host not in {None, view.host}:
+        return ()
+    search.pending_host = None
+    return continue_search(state, route, key, datagram, event.now)
+
+
+def _drop_denial(search: FlowSearch, view: AgentView) -> Effects:
+    """Ignore a denial that depends on a lost message; query the agent again."""
+    if search.pending_host == view.host:
+        search.pending_host = None
+    return (Decided('drop_unannounced_denial'),)
+
+
+def _record_answer(
+    state: PacketState,
+    event: EnvelopeArrived,
+    digest: int,
+    key: bytes,
+    hosts: tuple[str, ...],
+) -> Effects:
+    """Record a node's answer on one flow, and resume its search."""
+    search = state.searches[key]
+    unknown_hosts = list_unknown_hosts(state, search, hosts)
+    if unknown_hosts:
+        return _await_owner_entry(state, search, key, unknown_hosts)
+    search.named_owners.extend(hosts)
+    search.answer_digests[event.sender] = digest
+    if search.pending_host is not None:
+        return ()
+    return resume_search(state, search, key, event.now)
+
+
 def _await_owner_entry(
     state: PacketState,
     search: FlowSearch,
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/peer_bootstrap.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/peer_bootstrap.py
@@ -9,6 +9,7 @@
 
 from keelgap.packets.envelopes import Envelope, EnvelopeKind
 from keelgap.packets.exceptions import MalformedEnvelope
+from keelgap.packets.route_services import pack_route_services
 from keelgap.packets.served_hosts import (
     MAX_SERVED_HOSTS,
     ServedHost,
@@ -26,6 +27,7 @@
     SendToAgent,
 )
 from keelgap_balancer.packets.events import EnvelopeArrived
+from keelgap_balancer.packets.route_services import list_known
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted_agents import record_service
 
@@ -81,7 +83,9 @@
 def answer_peer_query(state: PacketState, event: EnvelopeArrived) -> Effects:
     """Send the known hosts and their services to a balancer started later.
 
-    Nothing is sent if it lists the same hosts and no unlisted agent is known.
+    It is also told which services hold flows of routes that do not lead to
+    them.  Hosts are not sent if it lists the same and no unlisted agent is
+    known.
     One answer is enough: the balancer follows all changes from its first
     catalog on.  The message is limited to MAX_SERVED_HOSTS rows, unlisted
     agents first; in a large fleet nothing else fits.
@@ -95,18 +99,32 @@
     began_later = state.catalog_gaps.first_revision < request.first_revision
     if is_answered or not state.has_catalog or not began_later:
         return ()
+    route_services = _tell_route_services(state, event.sender)
     served = _list_served(state)
     unlisted = [
         ServedHost(view.host, view.service_tag)
         for view in state.catalog_gaps.unlisted.values()
     ]
-    if not unlisted and digest_served(served) == request.digest:
+    is_same = not unlisted and digest_served(served) == request.digest
+    if is_same and not route_services:
         return ()
     if len(answered) >= defaults.MAX_INHERITING:
         answered.clear()
     answered[event.sender] = request.first_revision
+    if is_same:
+        return route_services
     content = pack_served((*unlisted, *served)[:MAX_SERVED_HOSTS])
-    return (_make_message(event.sender, EnvelopeKind.SERVED_TOLD, content),)
+    told = _make_message(event.sender, EnvelopeKind.SERVED_TOLD, content)
+    return (*route_services, told)
+
+
+def _tell_route_services(state: PacketState, host: str) -> Effects:
+    """Tell a balancer which services hold flows of routes led elsewhere."""
+    messages = pack_route_services(list_known(state))
+    return tuple(
+        _make_message(host, EnvelopeKind.ROUTE_SERVICES, message)
+        for message in messages[: defaults.MAX_ROUTE_SERVICE_MESSAGES]
+    )
 
 
 def handle_served_hosts(state: PacketState, event: EnvelopeArrived) -> Effects:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/reducer.py
@@ -5,19 +5,20 @@
 from typing import Any, Final
 
 from keelgap.packets.envelopes import (
-    REPORT_FORMAT,
     EnvelopeKind,
-    unpack_report,
 )
 from keelgap.packets.exceptions import MalformedEnvelope
-from keelgap.packets.formats import ENDS_FLOW, FLOW_KEY_LENGTH, Flags
+from keelgap.packets.formats import (
+    ENDS_FLOW,
+    FLOW_KEY_LENGTH,
+    Flags,
+)
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.catalog_changes import (
     change_catalog,
     forget_former_routes,
     forget_missing_upstreams,
 )
-from keelgap_balancer.packets.dead_flows import serves_route
 from keelgap_balancer.packets.effects import (
     Decided,
     Observed,
@@ -26,7 +27,6 @@
 )
 from keelgap_balancer.packets.ejection import (
     forget_ejections,
-    record_ejection,
 )
 from keelgap_balancer.packets.events import (
     CallerPacket,
@@ -42,12 +42,11 @@
     open_flow,
     reoffer_flow,
 )
-from keelgap_balancer.packets.flow_search import FlowSearch
 from keelgap_balancer.packets.forwarding import forward
-from keelgap_balancer.packets.notices import make_notice
+from keelgap_balancer.packets.notices import send_notice
 from keelgap_balancer.packets.owner_search import (
     continue_overdue_searches,
-    continue_search,
+    resume_after_denial,
     resume_answered,
     resume_denied,
     search_for_owner,
@@ -60,11 +59,18 @@
 )
 from keelgap_balancer.packets.refusals import broadcast_refused, handle_refused
 from keelgap_balancer.packets.report_polling import poll_agents
+from keelgap_balancer.packets.route_reports import (
+    expire_routes,
+    handle_held_routes,
+    handle_report,
+    handle_route_services,
+)
 from keelgap_balancer.packets.search_expiry import expire_searches
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.suspended_searches import (
     resume_awaiting_catalog,
     resume_awaiting_entries,
+    resume_awaiting_routes,
     retry_lookups,
 )
 from keelgap_balancer.packets.unlisted_agents import (
@@ -185,35 +191,6 @@
         return (Decided(error.code),)
 
 
-def _handle_report(
-    state: PacketState,
-    event: EnvelopeArrived,
-    view: AgentView,
-) -> Effects:
-    """Record an agent's load report, and the ejection state in it."""
-    report = unpack_report(event.envelope.content)
-    if state.agents_by_host.get(view.host) is not view:
-        # The view is of an upstream that gets no new flows from here.
-        return ()
-    view.report = report
-    view.flows_since_report = 0
-    view.reported_at = event.now
-    return record_ejection(state, view, view.report, event.now)
-
-
-def _send_notice(
-    state: PacketState,
-    event: EnvelopeArrived,
-    view: AgentView,
-) -> Effects:
-    """Answer an agent that has just started with a notice.
-
-    The notice tells it what the catalog holds on its upstream and service.
-    """
-    notice = make_notice(state, view, event.now)
-    return (view.send(EnvelopeKind.ASK, notice, REPORT_FORMAT),)
-
-
 def _handle_found(
     state: PacketState,
     event: EnvelopeArrived,
@@ -241,6 +218,7 @@
     key = event.envelope.content
     if len(key) != FLOW_KEY_LENGTH:
         return (Decided(MalformedEnvelope.code),)
+    view.record_search_answer()
     search = state.searches.pop(key, None)
     state.owners.put(key, view)
     if search is None:
@@ -291,17 +269,7 @@
         start_ms = event.envelope.left_ms
         opening = OpeningPacket(key, route, datagram, event.now, hop, start_ms)
         return reoffer_flow(state, opening, view)
-    search = state.searches.setdefault(key, FlowSearch(event.now))
-    search.denied_by.add(view.host)
-    if not search.query_count and serves_route(view, route):
-        # The packet had been forwarded to the cached owner, which returned it;
-        # that counts as the first query.
-        search.query_count = 1
-    search.may_lack_entries |= event.stamp.may_lack_entries
-    if search.pending_host not in {None, view.host}:
-        return ()
-    search.pending_host = None
-    return continue_search(state, route, key, datagram, event.now)
+    return resume_after_denial(state, event, view, route)
 
 
 def _handle_catalog(state: PacketState, event: CatalogChanged) -> Effects:
@@ -316,11 +284,16 @@
         for key, datagram in parked
         for effect in _route_packet(state, key, datagram, event.now)
     )
-    return (
-        *effects,
-        *poll_agents(state, event.now),
+    polled = poll_agents(state, event.now)
+    resumed = (
         *resume_awaiting_catalog(state, event.now),
         *resume_awaiting_entries(state, event.now),
+        *resume_awaiting_routes(state, event.now),
+    )
+    return (
+        *effects,
+        *polled,
+        *resumed,
         *parked_effects,
     )
 
@@ -353,10 +326,13 @@
     expire_unlisted(state, now)
     forget_ejections(state)
     forget_former_routes(state, now)
+    expire_routes(state, now)
     awaits_entries = state.is_newly_started(now) or state.is_after_catalog_gap(
         now
     )
-    resumed = () if awaits_entries else resume_awaiting_entries(state, now)
+    resumed = resume_awaiting_routes(state, now)
+    if not awaits_entries:
+        resumed = (*resumed, *resume_awaiting_entries(state, now))
     return (
         *broadcast_refused(state, now),
         *expired,
@@ -366,13 +342,15 @@
     )
 
 
-#: Handlers of messages that balancers send each other.
+#: Handlers of messages that balancers send each other.  Agents send the last
+#: one, too; the sender does not matter.
 _BALANCER_HANDLERS: Final[
     Mapping[int, Callable[[PacketState, EnvelopeArrived], Effects]]
 ] = MappingProxyType({
     int(EnvelopeKind.REFUSED): handle_refused,
     int(EnvelopeKind.SERVED_ASKED): answer_peer_query,
     int(EnvelopeKind.SERVED_TOLD): handle_served_hosts,
+    int(EnvelopeKind.ROUTE_SERVICES): handle_route_services,
 })
 
 #: Handlers of messages from agents.
@@ -382,12 +360,13 @@
         Callable[[PacketState, EnvelopeArrived, AgentView], Effects],
     ]
 ] = MappingProxyType({
-    int(EnvelopeKind.REPORT): _handle_report,
+    int(EnvelopeKind.REPORT): handle_report,
     int(EnvelopeKind.OWNED): _handle_owned,
     int(EnvelopeKind.MISS): _handle_miss,
-    int(EnvelopeKind.ASK): _send_notice,
+    int(EnvelopeKind.ASK): send_notice,
     int(EnvelopeKind.FOUND): _handle_found,
     int(EnvelopeKind.COVERED): _handle_covered,
+    int(EnvelopeKind.HELD_ROUTES): handle_held_routes,
 })
 
 _HANDLERS: Final[Mapping[type, Callable[[PacketState, Any], Effects]]] = (
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/search_expiry.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/search_expiry.py
@@ -29,7 +29,7 @@
     return tuple(
         effect
         for key in expired
-        for effect in _log_expired(state, key, state.searches.pop(key))
+        for effect in _log_expired(state, key, state.searches.pop(key), now)
     )
 
 
@@ -46,7 +46,12 @@
     return has_timed_out and not search.is_suspended
 
 
-def _log_expired(state: PacketState, key: bytes, search: FlowSearch) -> Effects:
+def _log_expired(
+    state: PacketState,
+    key: bytes,
+    search: FlowSearch,
+    now: float,
+) -> Effects:
     """Return a log line on the agents that may still hold a flow.
 
     It names those for which nobody denied the flow, and counts those for which
@@ -59,10 +64,12 @@
     if route is None:
         # A new flow that was offered to several agents, or a removed route.
         return ()
-    directory_nodes = list_directory_nodes(state, route, key)
-    undenied = list_possible_owners(state, search, route, directory_nodes, 1)
+    directory_nodes = list_directory_nodes(state, route, key, now)
+    undenied = list_possible_owners(
+        state, search, route, directory_nodes, 1, now
+    )
     unsure = list_possible_owners(
-        state, search, route, directory_nodes, REPLICAS
+        state, search, route, directory_nodes, REPLICAS, now
     )
     fields = {
         'flow': state.format.describe_key(key),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -271,6 +271,10 @@
             'upstreams_wanting_trial': len(state.ejections.awaiting_trial),
             'silent_agents': sum(view.is_unresponsive(now) for view in views),
             'unlisted_agents': len(state.catalog_gaps.unlisted),
+            'routes_held_elsewhere': state.catalog_gaps.route_services.count,
+            'agents_untold': sum(
+                map(len, state.catalog_gaps.route_services.untold.values()),
+            ),
             'known_flows': len(state.owners),
             'searches': len(state.searches),
             'parked_flows': len(state.parked),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -17,6 +17,7 @@
 from keelgap_balancer.packets.caller_waits import CallerWaits
 from keelgap_balancer.packets.flow_search import FlowSearch
 from keelgap_balancer.packets.latency_placement.state import PlacementState
+from keelgap_balancer.packets.route_service_table import RouteServiceTable
 from keelgap_balancer.packets.views import AgentView, DirectoryNodeView
 
 __all__ = (
@@ -107,9 +108,10 @@
         'answered_peers',
         'unlisted',
         'uncovered_agents',
+        'route_services',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         """Create a record without known gaps."""
         #: Agents that the catalog does not list for a service that they may
         #: serve, by host and service.
@@ -127,6 +129,8 @@
         #: When a catalog came into force that may not report all entries which
         #: were written and lapsed since the catalog before it.
         self.gap_at = float('-inf')
+        #: Services that may hold flows of routes without being listed for them.
+        self.route_services = RouteServiceTable(now)
 
 
 class PacketState:
@@ -165,7 +169,7 @@
         self.directories: dict[str, FlowDirectory] = {}
         #: Directory nodes by host.
         self.directory_nodes: dict[str, DirectoryNodeView] = {}
-        self.catalog_gaps = CatalogGaps()
+        self.catalog_gaps = CatalogGaps(now)
         #: Latest packet of each flow that cannot be served yet, by flow key.
         self.parked: dict[bytes, bytes] = {}
         #: Revision up to which the catalog in force is complete.
@@ -241,7 +245,10 @@
 
         Routes that were removed a short time ago are found, too.
         """
-        route_key = self.format.route_key(datagram)
+        return self.find_route_by_key(self.format.route_key(datagram))
+
+    def find_route_by_key(self, route_key: bytes) -> PacketRoute | None:
+        """Return the route with a key, as ``find_route`` does."""
         route = self.routes.get(route_key)
         if route is not None:
             return route
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/suspended_searches.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/suspended_searches.py
@@ -1,16 +1,17 @@
 """Resume searches that wait for the store or for a directory node to start.
 
 A search is suspended if other processes know of changes that have not been
-read here, or if the entries of live upstreams may have lapsed while the store
-was unavailable.  It is kept for as long as its caller waits: a caller whose
-flow is dead repeats its packet up to 1.6 s later, and may have no time left by
-then.
+read here, if the entries of live upstreams may have lapsed while the store was
+unavailable, or if agents have not yet told of which routes they hold flows.  It
+is kept for as long as its caller waits: a caller whose flow is dead repeats its
+packet up to 1.6 s later, and may have no time left by then.
 """
 
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.directory_client import send_queued_lookups
 from keelgap_balancer.packets.effects import PacketEffect
 from keelgap_balancer.packets.flow_search import FlowSearch
+from keelgap_balancer.packets.held_routes import awaits_held_routes
 from keelgap_balancer.packets.owner_search import resume_search
 from keelgap_balancer.packets.state import PacketState
 
@@ -18,6 +19,7 @@
     'retry_lookups',
     'resume_awaiting_entries',
     'resume_awaiting_catalog',
+    'resume_awaiting_routes',
 )
 
 Effects = tuple[PacketEffect, ...]
@@ -55,6 +57,20 @@
     return tuple(effects)
 
 
+def resume_awaiting_routes(state: PacketState, now: float) -> Effects:
+    """Resume searches for which all agents have told the routes they hold."""
+    effects: list[PacketEffect] = []
+    for key, search in tuple(state.searches.items()):
+        if not search.awaits_held_routes:
+            continue
+        route = state.find_route(search.latest_packet)
+        if route is not None and awaits_held_routes(state, route):
+            continue
+        search.end_suspension(now)
+        effects.extend(resume_search(state, search, key, now))
+    return tuple(effects)
+
+
 def _is_still_denied(state: PacketState, search: FlowSearch) -> bool:
     """Return whether all nodes that denied a flow cover the same agents."""
     return all(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted_agents.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/unlisted_agents.py
@@ -15,6 +15,10 @@
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.effects import Decided, PacketEffect
 from keelgap_balancer.packets.events import EnvelopeArrived
+from keelgap_balancer.packets.route_services import (
+    find_service_name,
+    list_services,
+)
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.views import AgentView
 
@@ -31,10 +35,13 @@
 
 
 def list_unlisted(state: PacketState, route: PacketRoute) -> list[AgentView]:
-    """Return agents of a route's services that the catalog does not list."""
+    """Return agents that may hold flows of a route and are not listed.
+
+    The catalog lists their hosts for other services.
+    """
     if not state.catalog_gaps.unlisted:
         return []
-    services = {share.service for share in route.shares}
+    services = list_services(state, route)
     return [
         view
         for view in state.catalog_gaps.unlisted.values()
@@ -51,10 +58,13 @@
 
     It may be listed in the catalog or unlisted.
     """
-    services = {share.service for share in route.shares}
+    services = list_services(state, route)
     listed = state.agents_by_host.get(host)
     if listed is not None and listed.upstream.service in services:
         return listed
+    unsure = state.catalog_gaps.route_services.unsure.get(host)
+    if unsure is not None:
+        return unsure
     unlisted = (
         state.catalog_gaps.unlisted.get((host, service)) for service in services
     )
@@ -142,8 +152,8 @@
 ) -> Effects:
     """Record that a host serves a service for which it is not listed.
 
-    Does nothing unless a route leads to the service and the catalog lists the
-    host.
+    Does nothing unless a route leads to the service, or it may hold flows of
+    one, and the catalog lists the host.
     """
     listed = state.agents_by_host.get(host)
     if listed is None or listed.service_tag == tag:
@@ -166,7 +176,7 @@
 
 
 def _find_service(state: PacketState, tag: int) -> str | None:
-    """Return the service that has a tag, or None if no route leads to it."""
+    """Return the service with a tag, or None if it holds flows of no route."""
     services = (
         share.service
         for route in state.routes.values()
@@ -174,7 +184,7 @@
     )
     return next(
         (name for name in services if compute_service_tag(name) == tag),
-        None,
+        find_service_name(state, tag),
     )
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/views.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/views.py
@@ -1,5 +1,7 @@
 """A balancer's view of agents, and of those that are directory nodes."""
 
+from typing import Final
+
 from keelgap.catalog.models import PacketUpstream
 from keelgap.packets.envelopes import (
     UNKNOWN_WAIT,
@@ -14,6 +16,8 @@
 
 __all__ = ('AgentView', 'DirectoryNodeView')
 
+#: Before any time.
+_NEVER: Final = float('-inf')
 _NO_REPORT = LoadReport(0, 0, 0, closed=False)
 
 
@@ -40,6 +44,11 @@
         'reply_due_since',
         'warm_up_until',
         'startup_until',
+        'has_told_routes',
+        'states_routes',
+        'queried_at',
+        'given_up_until',
+        'search_due_since',
     )
 
     def __init__(self, upstream: PacketUpstream, now: float) -> None:
@@ -57,27 +66,39 @@
         #: New flows offered to the agent since its last load report.
         self.flows_since_report = 0
         #: When the latest message from the agent arrived.
-        self.last_heard = float('-inf')
+        self.last_heard = _NEVER
         #: When the agent was last sent a trial flow.
-        self.last_trial_at = float('-inf')
+        self.last_trial_at = _NEVER
         #: Since when a reply of the agent is due; None if none is.
         self.reply_due_since: float | None = None
         #: When the agent is due for a poll.
         self.next_poll_at = now
         #: When it was last sent a notice because a node of its directory
         #: did not cover it.
-        self.last_notice_at = float('-inf')
+        self.last_notice_at = _NEVER
         self.warm_up_until = now + upstream.warm_up_seconds
         #: Until when it counts as newly started.  An upstream that gets cold
         #: later, in an availability zone that is out of service, has written
         #: more reports to the store.
-        self.startup_until = float('-inf')
+        self.startup_until = _NEVER
         if upstream.reports <= defaults.MAX_STARTUP_REPORTS:
             self.startup_until = self.warm_up_until
         #: Since when its entry is missing from the catalog; None if it is not.
         self.missing_since: float | None = None
         #: Whether a later process of the upstream replaced it.
         self.is_replaced = False
+        #: Whether it has reported the routes of the flows it holds.
+        self.has_told_routes = False
+        #: Whether it does so when asked, as far as known; agents of earlier
+        #: releases do not.
+        self.states_routes = True
+        #: When it was last queried for the owner of a flow.
+        self.queried_at = _NEVER
+        #: Since when no such query was answered; None if the latest one was.
+        self.search_due_since: float | None = None
+        #: Until when it is not waited for if it serves another service than
+        #: those of a route.
+        self.given_up_until = _NEVER
 
     def update_upstream(self, upstream: PacketUpstream, now: float) -> None:
         """Apply a catalog entry of the same upstream process.
@@ -135,6 +156,28 @@
         since = self.reply_due_since
         return since is not None and now - since > defaults.UNRESPONSIVE_SECONDS
 
+    def expect_search_answer(self, now: float) -> None:
+        """Record that the agent owes the answer to a query for an owner.
+
+        If it has answered none of many queries for UNANSWERED_SECONDS, it is
+        given up for a while.
+        """
+        has_paused = now - self.queried_at > defaults.SEARCH_TIMEOUT_SECONDS
+        self.queried_at = now
+        if self.search_due_since is None or has_paused:
+            self.search_due_since = now
+        elif now - self.search_due_since > defaults.UNANSWERED_SECONDS:
+            self.given_up_until = now + defaults.GIVEN_UP_SECONDS
+
+    def record_search_answer(self) -> None:
+        """Record that the agent answered a query for an owner."""
+        self.search_due_since = None
+        self.given_up_until = _NEVER
+
+    def is_given_up(self, now: float) -> bool:
+        """Return whether the agent answers no queries for owners."""
+        return now < self.given_up_until
+
     def accepts_flows(self) -> bool:
         """Return whether the upstream is listed and takes new flows."""
         return (
--- a/packages/keelgap/src/keelgap/catalog/builder.py
+++ b/packages/keelgap/src/keelgap/catalog/builder.py
@@ -107,6 +107,7 @@
             latest_change,
             dict(self.evacuated),
             missed_rows,
+            unserved=self._select_unserved(),
         )
         if faults:
             self.on_faults(tuple(faults))
@@ -191,6 +192,7 @@
         rows = self.upstreams.rows
         services = routes.services
         if not services:
+            self.unknown_service_ids = frozenset()
             return dict(rows)
         served = {
             upstream_id: upstream
@@ -207,3 +209,11 @@
         )
         self.unknown_service_ids = unknown_service_ids
         return served
+
+    def _select_unserved(self) -> dict[str, PacketUpstream]:
+        """Return the upstreams whose service is not in the table."""
+        rows = self.upstreams.rows
+        return {
+            upstream_id: rows[upstream_id]
+            for upstream_id in self.unknown_service_ids
+        }
--- a/packages/keelgap/src/keelgap/catalog/models.py
+++ b/packages/keelgap/src/keelgap/catalog/models.py
@@ -27,6 +27,8 @@
     content: bytes
     #: Revision of the store at the last write.
     revision: int
+    #: Revision of the store when the key was created; 0 if unknown.
+    created: int = 0
 
 
 class TrafficShare(NamedTuple):
@@ -72,6 +74,8 @@
     idle_seconds: float
     #: Limits of all services, by name.
     services: Mapping[str, ServiceLimits] = MappingProxyType({})
+    #: Revision of the store when this version was written; 0 if unknown.
+    revision: int = 0
 
 
 class UpstreamIdentity(NamedTuple):
@@ -102,6 +106,9 @@
     started: int = 0
     #: Number of reports of the upstream since it started.
     reports: int = 0
+    #: Revision of the store when its entry was created; 0 if unknown.  An entry
+    #: that lapsed is created again.
+    created: int = 0
 
     @property
     def identity(self) -> UpstreamIdentity:
@@ -127,6 +134,9 @@
     missed: tuple[PacketUpstream, ...] = ()
     #: Whether more entries may have been written and deleted unnoticed.
     has_gap: bool = False
+    #: Upstreams, by id, whose service is not in the operators' table.  They may
+    #: hold flows of earlier versions.
+    unserved: Mapping[str, PacketUpstream] = MappingProxyType({})
 
 
 #: Default of ``missed`` if no entries were missed.
--- a/packages/keelgap/src/keelgap/packets/envelopes.py
+++ b/packages/keelgap/src/keelgap/packets/envelopes.py
@@ -24,10 +24,13 @@
     'EnvelopeKind',
     'CallerWait',
     'LoadReport',
+    'LONG_REPORT_LENGTH',
     'REPORT_FORMAT',
+    'ROUTES_REPORT_FORMAT',
     'Stamp',
     'MalformedEnvelope',
     'compute_service_tag',
+    'is_without_routes',
     'pack_envelope',
     'pack_report',
     'unpack_envelope',
@@ -40,14 +43,19 @@
 _REPORT: Final = struct.Struct('!HHHB')
 #: Fields ``queued`` and ``work_ms``.
 _REPORT_EXTENSION: Final = struct.Struct('!HH')
-_LONG_REPORT_LENGTH: Final = _REPORT.size + _REPORT_EXTENSION.size
+#: Octets of a report in its long form, without the routes that may follow.
+LONG_REPORT_LENGTH: Final = _REPORT.size + _REPORT_EXTENSION.size
 #: Flags of a report.  Earlier releases interpret any of them as closed.
 _CLOSED_FLAG: Final = 1
 _EJECTED_FLAG: Final = 2
 _WANTS_TRIAL_FLAG: Final = 4
+#: The agent states HeldRoutes when asked; sent from ROUTES_REPORT_FORMAT on.
+_STATES_ROUTES_FLAG: Final = 8
 #: Latest format of reports.  A balancer sends the format that it reads in the
 #: hop field of HELLO and ASK envelopes; earlier releases send 0.
-REPORT_FORMAT: Final = 1
+REPORT_FORMAT: Final = 2
+#: First format in which HeldRoutes may follow a report.
+ROUTES_REPORT_FORMAT: Final = 2
 HEADER_LENGTH: Final = _HEADER.size
 #: Upper bounds of the unsigned and signed header and report fields.
 _MAX_UINT16: Final = 65535
@@ -105,6 +113,13 @@
     #: Balancer to balancer: the response; the content is a list of
     #: ServedHost.
     SERVED_TOLD = 18
+    #: Between balancers and agents: services that may hold flows of routes
+    #: which do not lead to them; the content is a list of RouteService.  An
+    #: agent sends it before each MISS and FOUND that depends on it.
+    ROUTE_SERVICES = 19
+    #: Agent to balancer: the agent holds a flow of a route for the first time;
+    #: the content is HeldRoutes, which may also follow a LoadReport.
+    HELD_ROUTES = 20
 
 
 _KINDS: Final = frozenset(int(kind) for kind in EnvelopeKind)
@@ -137,7 +152,8 @@
     #: of reports that the sender reads.
     hop: int
     #: Requests that the upstream runs concurrently, according to the
-    #: balancer; 0 if unknown.
+    #: balancer; 0 if unknown.  In MISS and FOUND: 1 if ROUTE_SERVICES
+    #: precedes, without which the denial does not count; else 0.
     slots: int
     #: Priority of a caller's packet; 0 is served first under overload.
     priority: int
@@ -249,6 +265,7 @@
         report.closed * _CLOSED_FLAG
         | report.is_ejected * _EJECTED_FLAG
         | report.wants_trial * _WANTS_TRIAL_FLAG
+        | (report_format >= ROUTES_REPORT_FORMAT) * _STATES_ROUTES_FLAG
     )
     base_report = _REPORT.pack(
         min(report.busy, _MAX_UINT16),
@@ -267,14 +284,17 @@
 def unpack_report(content: bytes) -> LoadReport:
     """Decode a load report of either format.
 
-    Raises MalformedEnvelope if it has the length of neither.
+    HeldRoutes may follow the long form.  Raises MalformedEnvelope if the
+    content has the length of neither.
     """
-    if len(content) not in {_REPORT.size, _LONG_REPORT_LENGTH}:
+    is_long = len(content) >= LONG_REPORT_LENGTH
+    if not is_long and len(content) != _REPORT.size:
         raise MalformedEnvelope(len(content))
     busy, flows, answer_ms, flags = _REPORT.unpack_from(content)
-    extension = content[_REPORT.size :]
     queued, work_ms = (
-        _REPORT_EXTENSION.unpack(extension) if extension else (0, 0)
+        _REPORT_EXTENSION.unpack_from(content, _REPORT.size)
+        if is_long
+        else (0, 0)
     )
     return LoadReport(
         busy,
@@ -286,3 +306,14 @@
         queued=queued,
         work_ms=work_ms,
     )
+
+
+def is_without_routes(content: bytes) -> bool:
+    """Return whether the sender of a load report never states HeldRoutes.
+
+    It is of an earlier release.  The short form tells nothing: the sender does
+    not know what its receiver reads.  The content must be a valid report.
+    """
+    flags = _REPORT.unpack_from(content)[-1]
+    is_long = len(content) >= LONG_REPORT_LENGTH
+    return is_long and not flags & _STATES_ROUTES_FLAG
--- a/packages/keelgap/src/keelgap/packets/formats.py
+++ b/packages/keelgap/src/keelgap/packets/formats.py
@@ -10,14 +10,19 @@
 __all__ = (
     'ENDS_FLOW',
     'FLOW_KEY_LENGTH',
+    'ROUTE_KEY_LENGTH',
     'Flags',
     'PacketFormat',
+    'get_route_key',
 )
 
 #: Octets of a flow key: address and port of the caller, then those of the
 #: route.
 FLOW_KEY_LENGTH: Final = 12
 
+#: Octets of a route key: address and port of the route.
+ROUTE_KEY_LENGTH: Final = 6
+
 
 class Flags(IntFlag):
     """Flags of a packet; the values do not depend on the layout."""
@@ -34,6 +39,11 @@
 ENDS_FLOW: Final = int(Flags.FIN | Flags.RST)
 
 
+def get_route_key(flow_key: bytes) -> bytes:
+    """Return the key of the route of a flow."""
+    return flow_key[-ROUTE_KEY_LENGTH:]
+
+
 class PacketFormat(NamedTuple):
     """Functions that read and modify packets of one layout.
 
--- a/tests/packets/test_oracle.py
+++ b/tests/packets/test_oracle.py
@@ -135,6 +135,21 @@
     return ()
 
 
+def list_services_of_table(state: Any, route: Any) -> Any:
+    """Stand in for a balancer that asks only the present services."""
+    return tuple(share.service for share in route.shares)
+
+
+def wait_for_nobody(state: Any, route: Any) -> bool:
+    """Stand in for a new balancer that does not hear what agents hold."""
+    return False
+
+
+def ask_no_unsure_agent(state: Any, services: Any) -> Any:
+    """Stand in for a new balancer that believes agents as new as itself."""
+    return []
+
+
 take_packet = agent_reducer._handle_packet  # noqa: WPS437
 release = admission._release  # noqa: WPS437
 
@@ -173,6 +188,21 @@
         judge_after_the_wait,
     ),
     'a verdict from an old catalog': (PacketState, 'is_catalog_stale', False),
+    'a route whose former services are not asked': (
+        dead_flows,
+        'list_services',
+        list_services_of_table,
+    ),
+    'a verdict before agents told what they hold': (
+        dead_flows,
+        'awaits_held_routes',
+        wait_for_nobody,
+    ),
+    'agents that cannot tell what they hold': (
+        dead_flows,
+        'list_unsure_agents',
+        ask_no_unsure_agent,
+    ),
     'a verdict although entries may lack': (
         PacketState,
         'is_newly_started',
