--- a/packages/keelgap-agent/src/keelgap_agent/packets/route_services.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/route_services.py
@@ -46,7 +46,7 @@
         'told_by': event.sender,
         'added': len(added),
         'services': len({row.service_tag for row in added}),
-        'known': state.routes.count_services(),
+        'known': state.routes.service_count,
     }
     return (Decided('route_services_told', fields),)
 
--- a/packages/keelgap-agent/src/keelgap_agent/packets/routes.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/routes.py
@@ -14,7 +14,7 @@
     It reads no table, so it knows the routes of its own flows only.
     """
 
-    __slots__ = ('held', 'services')
+    __slots__ = ('held', 'service_count', 'services')
 
     def __init__(self) -> None:
         """Start without flows."""
@@ -25,6 +25,8 @@
         #: route which leads to the service of this agent, by route key and
         #: service tag.
         self.services: dict[bytes, dict[int, float]] = {}
+        #: Number of such pairs.
+        self.service_count = 0
 
     def record_held(self, route_key: bytes) -> bool:
         """Record the route of a confirmed flow; return whether it is new."""
@@ -36,10 +38,6 @@
         """Replace the held routes by those of the present flows."""
         self.held = set(route_keys)
 
-    def count_services(self) -> int:
-        """Return the number of pairs of a route and another service."""
-        return sum(map(len, self.services.values()))
-
     def record_service(self, row: RouteService, now: float) -> bool:
         """Record that a service may hold flows of a route.
 
@@ -48,8 +46,9 @@
         """
         tags = self.services.get(row.route_key, {})
         is_new = row.service_tag not in tags
-        if is_new and self.count_services() >= defaults.MAX_ROUTE_SERVICES:
+        if is_new and self.service_count >= defaults.MAX_ROUTE_SERVICES:
             return False
+        self.service_count += is_new
         tags[row.service_tag] = now
         self.services[row.route_key] = tags
         return is_new
@@ -57,9 +56,15 @@
     def expire_services(self, now: float) -> None:
         """Forget services whose flows of a route must have ended by now."""
         oldest = now - defaults.ROUTE_SERVICE_SECONDS
-        for route_key, tags in tuple(self.services.items()):
+        kept = {}
+        for route_key, tags in self.services.items():
             recent = {tag: at for tag, at in tags.items() if at >= oldest}
             if recent:
-                self.services[route_key] = recent
-            else:
-                self.services.pop(route_key)
+                kept[route_key] = recent
+        self.services = kept
+        self.service_count = sum(map(len, kept.values()))
+
+    def forget_services(self) -> None:
+        """Forget all services, as the agent serves another one from now on."""
+        self.services = {}
+        self.service_count = 0
--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -115,7 +115,7 @@
         self.service_tag = tag
         self.registrar.reset_directory()
         self.directory = DirectoryNode(now)
-        self.routes.services = {}
+        self.routes.forget_services()
 
     def record_stamp(self, stamp: Stamp, now: float) -> None:
         """Record an envelope's stamp: what its sender knows of the store.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/catalog_changes.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/catalog_changes.py
@@ -1,7 +1,10 @@
 """Applies new versions of the catalog to the balancer's state."""
 
+from collections.abc import Mapping
+
 from keelgap.catalog.models import (
     Catalog,
+    PacketRoute,
     PacketUpstream,
     UpstreamIdentity,
 )
@@ -45,9 +48,10 @@
     flows are still found.
     """
     moved: frozenset[bytes] = frozenset()
-    former = list_former_routes(state)
+    former: dict[bytes, PacketRoute] = {}
     if catalog.routes.version != state.catalog.routes.version:
-        moved = _apply_routes(state, catalog, now)
+        former = list_former_routes(state)
+        moved = _apply_routes(state, catalog, former, now)
     unserved = select_unserved(state, catalog.unserved)
     if unserved:
         served = {**catalog.upstreams, **unserved}
@@ -116,6 +120,7 @@
 def _apply_routes(
     state: PacketState,
     catalog: Catalog,
+    former_routes: Mapping[bytes, PacketRoute],
     now: float,
 ) -> frozenset[bytes]:
     """Index the routes by key, and keep what their open flows need.
@@ -127,7 +132,6 @@
         state.catalog_gaps.route_services.first_table_revision = (
             catalog.routes.revision
         )
-    former_routes = list_former_routes(state)
     make_key = state.format.make_route_key
     routes = {
         make_key(route.host, route.port): route
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -96,7 +96,6 @@
     'MAX_ROUTE_SERVICES',
     'MAX_ROUTE_SERVICE_MESSAGES',
     'ROUTE_SERVICES_INTERVAL_SECONDS',
-    'ROUTE_SERVICES_SWEEP_SECONDS',
     'WITHDRAW_DELAY_SECONDS',
     'MAX_STARTUP_REPORTS',
     'MAX_FIRST_REPORTS',
@@ -251,8 +250,8 @@
 UNLISTED_SECONDS: Final = 18.0
 
 #: Maximum number of pairs of a route and a service that holds flows of it
-#: without being listed for it.  At 150 octets each this is 0.6 MB.
-MAX_ROUTE_SERVICES: Final = 4096
+#: without being listed for it.  At 400 octets each this is 3 MB.
+MAX_ROUTE_SERVICES: Final = 8192
 
 #: Maximum messages about such pairs to another balancer at once.  They have
 #: 120 pairs each.
@@ -271,9 +270,6 @@
 #: divided by that of the agents.  At the size to design for these are ten.
 MOVE_TELLERS: Final = 64
 
-#: Pause between two removals of pairs that are too old.
-ROUTE_SERVICES_SWEEP_SECONDS: Final = 1.0
-
 #: Maximum time between a message that names the services of a route and the
 #: denial that depends on it.  They are sent one after the other.
 ANNOUNCEMENT_SECONDS: Final = 0.5
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/held_routes.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/held_routes.py
@@ -80,12 +80,18 @@
     event: EnvelopeArrived,
     held: HeldRoutes,
 ) -> None:
-    """Record that the agent on a host has reported the routes it holds."""
+    """Record that the agent on a host has reported the routes it holds.
+
+    If it serves another service than the catalog lists for its host, nothing
+    can reach the flows of the upstream that is listed.
+    """
     view = state.agents_by_host.get(event.sender)
-    if view is None or view.service_tag != event.envelope.service_tag:
+    if view is None:
         return
     view.has_told_routes = True
     _stop_awaiting(state, view)
+    if view.service_tag != event.envelope.service_tag:
+        return
     services = state.catalog_gaps.route_services
     is_unsure = not held.is_complete and _may_hold_earlier_flows(state, view)
     if is_unsure != (view.host in services.unsure):
@@ -163,7 +169,8 @@
     agent_count = len(state.agents_by_host)
     is_small = agent_count <= defaults.MAX_POLLED_AGENTS
     if is_small or state.polling.seed % agent_count < defaults.MOVE_TELLERS:
-        replaced = [row for row in before if row not in after]
+        kept = frozenset(after)
+        replaced = [row for row in before if row not in kept]
         return (*told, *_tell_route_services(state, replaced, now))
     return told
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/peer_bootstrap.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/peer_bootstrap.py
@@ -27,7 +27,6 @@
     SendToAgent,
 )
 from keelgap_balancer.packets.events import EnvelopeArrived
-from keelgap_balancer.packets.route_services import list_known
 from keelgap_balancer.packets.state import PacketState
 from keelgap_balancer.packets.unlisted_agents import record_service
 
@@ -120,7 +119,9 @@
 
 def _tell_route_services(state: PacketState, host: str) -> Effects:
     """Tell a balancer which services hold flows of routes led elsewhere."""
-    messages = pack_route_services(list_known(state))
+    # The latest ones first: only some may fit.
+    rows = reversed(state.catalog_gaps.route_services.rows)
+    messages = pack_route_services(rows)
     return tuple(
         _make_message(host, EnvelopeKind.ROUTE_SERVICES, message)
         for message in messages[: defaults.MAX_ROUTE_SERVICE_MESSAGES]
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/route_service_table.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/route_service_table.py
@@ -1,5 +1,7 @@
 """Record of services that may hold flows of routes of the other services."""
 
+from itertools import takewhile
+
 from keelgap.packets.route_services import RouteService
 from keelgap_balancer.packets import defaults
 from keelgap_balancer.packets.views import AgentView
@@ -12,26 +14,24 @@
 
     __slots__ = (
         'announced_at',
-        'count',
         'first_table_revision',
         'is_past_unknown',
         'is_wait_over',
         'names',
         'passed_on_at',
+        'rows',
         'seen_at',
-        'swept_at',
         'unsure',
         'untold',
     )
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         """Create the record of a balancer that has no table yet."""
         #: When a service may last have got or held flows of a route, by route
         #: key and service tag.
         self.seen_at: dict[bytes, dict[int, float]] = {}
-        #: Number of pairs in ``seen_at``.
-        self.count = 0
-        self.swept_at = now
+        #: The pairs in ``seen_at``, the one seen longest ago first.
+        self.rows: dict[RouteService, None] = {}
         #: When each pair was last told to the agents of the route's services.
         self.passed_on_at: dict[RouteService, float] = {}
         #: When a host last named the services of a route, by host and route
@@ -52,18 +52,36 @@
         #: Cache of the names of services, by tag; None after a change.
         self.names: dict[int, str] | None = None
 
-    def drop_old(self, now: float) -> None:
-        """Drop pairs that were seen too long ago."""
+    def record(self, row: RouteService, now: float) -> bool:
+        """Record that a service may hold flows of a route; return if new.
+
+        The pair that was seen longest ago is dropped if there are too many.
+        """
+        is_new = row not in self.rows
+        if is_new and len(self.rows) >= defaults.MAX_ROUTE_SERVICES:
+            self._drop(next(iter(self.rows)))
+        self.rows.pop(row, None)
+        self.rows[row] = None
+        self.seen_at.setdefault(row.route_key, {})[row.service_tag] = now
+        return is_new
+
+    def drop_old(self, now: float) -> bool:
+        """Drop pairs that were seen too long ago; return if there were any."""
         oldest = now - defaults.FORMER_ROUTE_SECONDS
-        seen_at = {}
-        for route_key, tags in self.seen_at.items():
-            recent = {tag: at for tag, at in tags.items() if at >= oldest}
-            if recent:
-                seen_at[route_key] = recent
-        self.seen_at = seen_at
-        self.count = sum(map(len, seen_at.values()))
-        self.passed_on_at = {
-            row: at
-            for row, at in self.passed_on_at.items()
-            if now - at < defaults.ROUTE_SERVICES_INTERVAL_SECONDS
-        }
+        expired = list(
+            takewhile(lambda row: self._get(row) < oldest, self.rows)
+        )
+        for row in expired:
+            self._drop(row)
+        return bool(expired)
+
+    def _get(self, row: RouteService) -> float:
+        return self.seen_at[row.route_key][row.service_tag]
+
+    def _drop(self, row: RouteService) -> None:
+        self.rows.pop(row)
+        self.passed_on_at.pop(row, None)
+        tags = self.seen_at[row.route_key]
+        tags.pop(row.service_tag)
+        if not tags:
+            self.seen_at.pop(row.route_key)
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/route_services.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/route_services.py
@@ -35,7 +35,6 @@
     'is_announced',
     'is_listed_here',
     'list_former_routes',
-    'list_known',
     'list_services',
     'list_table',
     'record_announced',
@@ -93,44 +92,16 @@
     return _get_service_names(state).get(tag)
 
 
-def list_known(state: PacketState) -> list[RouteService]:
-    """Return all further services of routes, the latest ones first."""
-    rows = [
-        (seen_at, RouteService(route_key, tag))
-        for route_key, tags in state.catalog_gaps.route_services.seen_at.items()
-        for tag, seen_at in tags.items()
-    ]
-    rows.sort(key=lambda row: row[0], reverse=True)
-    return [row for _, row in rows]
-
-
 def record_service_of_route(
     state: PacketState, row: RouteService, now: float
 ) -> bool:
-    """Record that a service may hold flows of a route; return if that is new.
-
-    The oldest record is dropped if there are too many.
-    """
-    services = state.catalog_gaps.route_services
-    tags = services.seen_at.setdefault(row.route_key, {})
-    is_new = row.service_tag not in tags
-    if is_new and services.count >= defaults.MAX_ROUTE_SERVICES:
-        _drop_oldest(state)
-        tags = services.seen_at.setdefault(row.route_key, {})
-    tags[row.service_tag] = now
+    """Record that a service may hold flows of a route; return if new."""
+    is_new = state.catalog_gaps.route_services.record(row, now)
     if is_new:
-        services.count += 1
         state.catalog_gaps.uncovered_agents.clear()
     return is_new
 
 
-def _drop_oldest(state: PacketState) -> None:
-    services = state.catalog_gaps.route_services
-    oldest = list_known(state)[-1]
-    services.seen_at[oldest.route_key].pop(oldest.service_tag)
-    services.count -= 1
-
-
 def list_former_routes(state: PacketState) -> dict[bytes, PacketRoute]:
     """Return the routes in force, and the removed ones, by route key."""
     removed = {
@@ -273,10 +244,5 @@
         for announced, at in services.announced_at.items()
         if now - at < defaults.ANNOUNCEMENT_SECONDS
     }
-    if now - services.swept_at < defaults.ROUTE_SERVICES_SWEEP_SECONDS:
-        return
-    services.swept_at = now
-    before = services.count
-    services.drop_old(now)
-    if services.count < before:
+    if services.drop_old(now):
         state.catalog_gaps.uncovered_agents.clear()
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/server.py
@@ -271,7 +271,9 @@
             'upstreams_wanting_trial': len(state.ejections.awaiting_trial),
             'silent_agents': sum(view.is_unresponsive(now) for view in views),
             'unlisted_agents': len(state.catalog_gaps.unlisted),
-            'routes_held_elsewhere': state.catalog_gaps.route_services.count,
+            'routes_held_elsewhere': len(
+                state.catalog_gaps.route_services.rows
+            ),
             'agents_untold': sum(
                 map(len, state.catalog_gaps.route_services.untold.values()),
             ),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/state.py
@@ -111,7 +111,7 @@
         'route_services',
     )
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         """Create a record without known gaps."""
         #: Agents that the catalog does not list for a service that they may
         #: serve, by host and service.
@@ -130,7 +130,7 @@
         #: were written and lapsed since the catalog before it.
         self.gap_at = float('-inf')
         #: Services that may hold flows of routes without being listed for them.
-        self.route_services = RouteServiceTable(now)
+        self.route_services = RouteServiceTable()
 
 
 class PacketState:
@@ -169,7 +169,7 @@
         self.directories: dict[str, FlowDirectory] = {}
         #: Directory nodes by host.
         self.directory_nodes: dict[str, DirectoryNodeView] = {}
-        self.catalog_gaps = CatalogGaps(now)
+        self.catalog_gaps = CatalogGaps()
         #: Latest packet of each flow that cannot be served yet, by flow key.
         self.parked: dict[bytes, bytes] = {}
         #: Revision up to which the catalog in force is complete.
