--- a/packages/keelgap-agent/src/keelgap_agent/packets/state.py
+++ b/packages/keelgap-agent/src/keelgap_agent/packets/state.py
@@ -279,6 +279,7 @@
         return HeldRoutes(
             self.registrar.is_complete and knows_all,
             tuple(self.routes.held),
+            self.registrar.predates_upstream and knows_all,
         )
 
     def forget(self, key: bytes) -> None:
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/dead_flows.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/dead_flows.py
@@ -95,16 +95,27 @@
         node
         for node in nodes
         if node not in state.agents_by_host
-        or not _is_passed_over(state.agents_by_host[node], route, now)
+        or not _is_passed_over(state, state.agents_by_host[node], route, now)
     )
 
 
-def _is_passed_over(view: AgentView, route: PacketRoute, now: float) -> bool:
+def _is_passed_over(
+    state: PacketState,
+    view: AgentView,
+    route: PacketRoute,
+    now: float,
+) -> bool:
     """Return whether a verdict on a flow does not wait for an agent.
 
-    An agent of another service must not hold up all verdicts for ever.
+    An agent of another service must not hold up all verdicts for ever.  One
+    that is asked only because it cannot tell what it holds is passed over as
+    soon as its upstream should have answered.
     """
-    return view.is_given_up(now) and not is_listed_here(view, route)
+    if is_listed_here(view, route):
+        return False
+    if view.upstream.service in list_services(state, route):
+        return view.is_given_up(now)
+    return view.owes_search_answer(now)
 
 
 def list_unknown_hosts(
@@ -149,7 +160,7 @@
         view
         for view in candidates
         if view.host not in search.denied_by
-        and not _is_passed_over(view, route, now)
+        and not _is_passed_over(state, view, route, now)
     ]
 
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -89,10 +89,12 @@
     'UNLISTED_SECONDS',
     'ANNOUNCEMENT_SECONDS',
     'HELD_ROUTES_WAIT_SECONDS',
+    'LARGE_FLEET_WAIT_SECONDS',
     'GIVEN_UP_SECONDS',
     'MOVE_TELLERS',
     'MAX_UNSURE_AGENTS',
     'UNANSWERED_SECONDS',
+    'UNSURE_SECONDS',
     'MAX_ROUTE_SERVICES',
     'MAX_ROUTE_SERVICE_MESSAGES',
     'ROUTE_SERVICES_INTERVAL_SECONDS',
@@ -275,15 +277,23 @@
 ANNOUNCEMENT_SECONDS: Final = 0.5
 
 #: How long after its first catalog a balancer waits for agents of other
-#: services to tell the routes that they hold, in a fleet in which it polls only
-#: some.  Other balancers poll the rest in this time and pass it on.
-HELD_ROUTES_WAIT_SECONDS: Final = 1.5
+#: services to tell the routes that they hold.  It is longer than the planned
+#: restart of an agent, which serves until it ends.
+HELD_ROUTES_WAIT_SECONDS: Final = 3.0
 
-#: An agent that leaves queries for flows, or the first polls, unanswered for
-#: this long does not hold up verdicts on flows of routes that do not lead to
-#: its service.  It is longer than the planned restart of an agent.
+#: The same in a fleet in which it polls only some agents.  Other balancers poll
+#: the rest in this time and pass it on.
+LARGE_FLEET_WAIT_SECONDS: Final = 1.5
+
+#: An agent that leaves queries for flows unanswered for this long does not hold
+#: up verdicts on flows of routes that do not lead to its service.
 UNANSWERED_SECONDS: Final = 10.0
 
+#: An agent that is asked for flows of other services, since it cannot tell what
+#: it holds, is passed over when it leaves queries unanswered for this long.
+#: Its upstream, on the same host, has stopped then.
+UNSURE_SECONDS: Final = 0.5
+
 #: How long such an agent is given up before it is queried again.
 GIVEN_UP_SECONDS: Final = 10.0
 
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/held_routes.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/held_routes.py
@@ -93,7 +93,9 @@
     if view.service_tag != event.envelope.service_tag:
         return
     services = state.catalog_gaps.route_services
-    is_unsure = not held.is_complete and _may_hold_earlier_flows(state, view)
+    is_unsure = not _knows_earlier_flows(view, held) and (
+        _may_hold_earlier_flows(state, view)
+    )
     if is_unsure != (view.host in services.unsure):
         state.catalog_gaps.uncovered_agents.clear()
     if is_unsure:
@@ -102,6 +104,17 @@
         services.unsure.pop(view.host, None)
 
 
+def _knows_earlier_flows(view: AgentView, held: HeldRoutes) -> bool:
+    """Return whether an agent knows all flows that its upstream may hold.
+
+    It does if nothing listened when it started, so that the upstream is younger
+    than the agent.  Only an upstream that is leaving holds flows, but may no
+    longer listen.
+    """
+    is_leaving = view.upstream.state != 'active'
+    return held.is_complete or (held.predates_upstream and not is_leaving)
+
+
 def _stop_awaiting(state: PacketState, view: AgentView) -> None:
     """Record that an agent is not waited for to tell its routes."""
     untold = state.catalog_gaps.route_services.untold
@@ -262,9 +275,8 @@
 def expire_untold(state: PacketState, now: float) -> None:
     """Stop waiting for agents that do not tell the routes they hold.
 
-    Where all agents are polled, silent ones may be restarting, and are waited
-    for until UNANSWERED_SECONDS after the first catalog.  In a larger fleet no
-    agent is waited for longer than HELD_ROUTES_WAIT_SECONDS.
+    The wait ends HELD_ROUTES_WAIT_SECONDS after the first catalog, or
+    LARGE_FLEET_WAIT_SECONDS where not all agents are polled.
     """
     services = state.catalog_gaps.route_services
     first_catalog_at = state.first_catalog_at
@@ -272,9 +284,9 @@
         return
     is_small = len(state.agents_by_host) <= defaults.MAX_POLLED_AGENTS
     limit = (
-        defaults.UNANSWERED_SECONDS
+        defaults.HELD_ROUTES_WAIT_SECONDS
         if is_small
-        else defaults.HELD_ROUTES_WAIT_SECONDS
+        else defaults.LARGE_FLEET_WAIT_SECONDS
     )
     if now - first_catalog_at >= limit:
         services.is_wait_over = True
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/views.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/views.py
@@ -174,6 +174,11 @@
         self.search_due_since = None
         self.given_up_until = _NEVER
 
+    def owes_search_answer(self, now: float) -> bool:
+        """Return whether queries for owners are overdue for an answer."""
+        since = self.search_due_since
+        return since is not None and now - since > defaults.UNSURE_SECONDS
+
     def is_given_up(self, now: float) -> bool:
         """Return whether the agent answers no queries for owners."""
         return now < self.given_up_until
--- a/packages/keelgap/src/keelgap/packets/route_services.py
+++ b/packages/keelgap/src/keelgap/packets/route_services.py
@@ -3,10 +3,10 @@
 The operators may send the new flows of a route to another service at any time;
 its open flows stay where they are.  No table says where that is, but the agents
 beside the upstreams know.  An agent tells balancers the routes of the flows
-that it holds: one flag (1 octet) whether these are all, then the route keys (6
-each).  Balancers and agents tell each other which service holds flows of a
-route without being listed for it: records of a route key (6) and a service tag
-(4), all in network byte order.
+that it holds: flags (1 octet; 1: these are all, 2: no upstream listened when
+the agent started), then the route keys (6 each).  Balancers and agents tell
+each other which service holds flows of a route without being listed for it:
+records of a route key (6) and a service tag (4), all in network byte order.
 """
 
 import struct
@@ -27,7 +27,9 @@
     'unpack_route_services',
 )
 
-_FLAG: Final = struct.Struct('!?')
+_FLAGS: Final = struct.Struct('!B')
+_COMPLETE_FLAG: Final = 1
+_PREDATES_FLAG: Final = 2
 _ROW: Final = struct.Struct(f'!{ROUTE_KEY_LENGTH}sI')
 #: Maximum route keys in a report, which has 1,170 octets then.
 MAX_HELD_ROUTES: Final = 190
@@ -43,6 +45,9 @@
     #: Whether the upstream holds flows of no other route.
     is_complete: bool
     route_keys: tuple[bytes, ...]
+    #: Whether no upstream listened when the agent started.  One that was
+    #: leaving may have held flows all the same.
+    predates_upstream: bool = False
 
 
 class RouteService(NamedTuple):
@@ -56,14 +61,21 @@
     """Encode held routes; beyond MAX_HELD_ROUTES they are incomplete."""
     keys = held.route_keys[:MAX_HELD_ROUTES]
     is_complete = held.is_complete and len(keys) == len(held.route_keys)
-    return _FLAG.pack(is_complete) + b''.join(keys)
+    flags = (
+        is_complete * _COMPLETE_FLAG | held.predates_upstream * _PREDATES_FLAG
+    )
+    return _FLAGS.pack(flags) + b''.join(keys)
 
 
 def unpack_held_routes(content: bytes) -> HeldRoutes:
     """Decode held routes; raise MalformedEnvelope if invalid."""
-    is_complete = unpack_header(_FLAG, content)[0]
-    keys = split_records(content[_FLAG.size :], ROUTE_KEY_LENGTH)
-    return HeldRoutes(is_complete, keys)
+    flags = unpack_header(_FLAGS, content)[0]
+    keys = split_records(content[_FLAGS.size :], ROUTE_KEY_LENGTH)
+    return HeldRoutes(
+        bool(flags & _COMPLETE_FLAG),
+        keys,
+        bool(flags & _PREDATES_FLAG),
+    )
 
 
 def pack_route_services(rows: Iterable[RouteService]) -> tuple[bytes, ...]:
