--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -94,6 +94,7 @@
     'MOVE_TELLERS',
     'MAX_UNSURE_AGENTS',
     'UNANSWERED_SECONDS',
+    'UNSURE_QUERIES',
     'UNSURE_SECONDS',
     'MAX_ROUTE_SERVICES',
     'MAX_ROUTE_SERVICE_MESSAGES',
@@ -290,8 +291,9 @@
 UNANSWERED_SECONDS: Final = 10.0
 
 #: An agent that is asked for flows of other services, since it cannot tell what
-#: it holds, is passed over when it leaves queries unanswered for this long.
-#: Its upstream, on the same host, has stopped then.
+#: it holds, is passed over when it leaves this many queries unanswered for this
+#: long.  Its upstream, on the same host, has stopped then.
+UNSURE_QUERIES: Final = 5
 UNSURE_SECONDS: Final = 0.5
 
 #: How long such an agent is given up before it is queried again.
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/views.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/views.py
@@ -48,6 +48,7 @@
         'states_routes',
         'queried_at',
         'given_up_until',
+        'unanswered_queries',
         'search_due_since',
     )
 
@@ -96,6 +97,8 @@
         self.queried_at = _NEVER
         #: Since when no such query was answered; None if the latest one was.
         self.search_due_since: float | None = None
+        #: Number of queries since then.
+        self.unanswered_queries = 0
         #: Until when it is not waited for if it serves another service than
         #: those of a route.
         self.given_up_until = _NEVER
@@ -164,20 +167,28 @@
         """
         has_paused = now - self.queried_at > defaults.SEARCH_TIMEOUT_SECONDS
         self.queried_at = now
+        self.unanswered_queries += 1
         if self.search_due_since is None or has_paused:
             self.search_due_since = now
+            self.unanswered_queries = 1
         elif now - self.search_due_since > defaults.UNANSWERED_SECONDS:
             self.given_up_until = now + defaults.GIVEN_UP_SECONDS
 
     def record_search_answer(self) -> None:
         """Record that the agent answered a query for an owner."""
         self.search_due_since = None
+        self.unanswered_queries = 0
         self.given_up_until = _NEVER
 
     def owes_search_answer(self, now: float) -> bool:
-        """Return whether queries for owners are overdue for an answer."""
+        """Return whether several queries for owners are overdue for an answer.
+
+        One may have been lost.
+        """
         since = self.search_due_since
-        return since is not None and now - since > defaults.UNSURE_SECONDS
+        if since is None or self.unanswered_queries < defaults.UNSURE_QUERIES:
+            return False
+        return now - since > defaults.UNSURE_SECONDS
 
     def is_given_up(self, now: float) -> bool:
         """Return whether the agent answers no queries for owners."""
