--- a/experiments/readers_model.py
+++ b/experiments/readers_model.py
@@ -1,171 +1,163 @@
-"""Readers and the spread of a change, in fleets of up to 370 balancers.
+"""Readers of the store in fleets of all sizes, on a virtual clock.
 
-370 are a seventh of the size to design for.  Real decisions (of
-keelgap.catalog.readers and keelgap_balancer.packets.gossip) on a paused
-clock, without sockets; a message takes no time and some are lost.
-Prints one JSON object a fleet.
+After all readers are lost it prints, for each size, the parts of the time until
+a change that is confirmed at that moment is known to all: until a balancer
+begins to read, until the store has answered it, until all have fetched the
+change.  It also prints octets by role, changes of readers on quiet and lossy
+days, and what the store and one balancer get when all start or go on at once.
+Prints one JSON object a size.
 
-    python -m experiments.readers_model --seed 1
+    python -m experiments.readers_model --seed 1 --sizes 8 26 100
 """
 
 import argparse
 import json
-from random import Random
+import time
+from collections.abc import Callable
 from statistics import mean
-from typing import Any
-
-from keelgap.catalog import defaults as catalog_defaults
-from keelgap.catalog.readers import ReaderClaim, ReaderElection
-from keelgap_balancer.packets import defaults
-from keelgap_balancer.packets.gossip import (
-    GossipMessage,
-    decode_gossip,
-    encode_gossip,
-)
-from keelgap_balancer.packets.peers import PeerTable
-
-SIZES = (8, 21, 100, 370)
-#: Octets around a message: its envelope's head, UDP and IPv4.
-HEADS = 19 + 28
-LOSS = 0.01
-#: Each joiner knows this many seeds.
-SEEDS = 3
-
-
-class Node:
-    """One balancer: what it knows, and what it sent."""
-
-    def __init__(self, host: str, seeds: list[str]) -> None:
-        """Start with the seeds only."""
-        self.peers = PeerTable(host, seeds)
-        self.readers = ReaderElection(host)
-        self.revision = 1
-        self.octets = 0
-
-
-class Fleet:
-    """Balancers that tell each other every half second, not in step."""
-
-    def __init__(self, count: int, random: Random) -> None:
-        """Start all of them."""
-        self.random = random
-        self.now: float = 0
-        hosts = [
-            f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}'
-            for number in range(count)
-        ]
-        seeds = random.sample(hosts, min(SEEDS, count))
-        self.nodes = {host: Node(host, seeds) for host in hosts}
-
-    def run_round(self) -> None:
-        """Let half a second pass."""
-        order = list(self.nodes)
-        self.random.shuffle(order)
-        pause = defaults.GOSSIP_INTERVAL_SECONDS / len(order)
-        for host in order:
-            self.now += pause
-            node = self.nodes[host]
-            node.peers.tick(self.now)
-            node.readers.decide(self.now, node.peers.last_heard)
-            self.tell(node)
-
-    def tell(self, node: Node) -> None:
-        """Let one tell those whose turn it is."""
-        is_reader = node.readers.is_reader
-        receivers = node.peers.select_receivers(is_reader=is_reader)
-        for place, host in enumerate(receivers):
-            may_probe = node.peers.should_probe(host, place)
-            wants_reply = may_probe and node.peers.start_probe(host, self.now)
-            self.tell_one(node, host, wants_reply=wants_reply)
-
-    def tell_one(
-        self, node: Node, host: str, *, wants_reply: bool = False
-    ) -> None:
-        """Let one tell another; some messages are lost."""
-        gossip = GossipMessage(
-            node.revision,
-            node.readers.is_reader,
-            node.peers.list_recent_peers(),
-            node.readers.make_claims(self.now),
-            node.peers.incarnation,
-            wants_reply,
-            node.peers.take_updates(),
-        )
-        content = encode_gossip(gossip)
-        node.octets += len(content) + HEADS
-        receiver = self.nodes.get(host)
-        if receiver is not None and self.random.random() >= LOSS:
-            self.hear(receiver, node.peers.own_host, decode_gossip(content))
-
-    def hear(self, node: Node, sender: str, gossip: GossipMessage) -> None:
-        """Let one take a message, and fetch what it lacks."""
-        for claim in gossip.claims:
-            node.readers.record_claim(claim, self.now)
-        if gossip.is_reader:
-            node.readers.record_claim(ReaderClaim(sender, 0), self.now)
-        else:
-            node.readers.record_withdrawal(sender, self.now)
-        node.peers.merge(gossip.changes, self.now)
-        known = node.peers.record_message(
-            sender, gossip.incarnation, gossip.peers, self.now
-        )
-        if known or gossip.wants_reply:
-            self.tell_one(node, sender)
-        if gossip.revision > node.revision:
-            node.revision = gossip.revision
-            # What is in force is told at once.
-            self.tell(node)
-
-    def list_readers(self) -> list[str]:
-        """Return who reads."""
-        return [
-            host for host, node in self.nodes.items() if node.readers.is_reader
-        ]
-
-    def spread(self) -> float:
-        """Let a reader learn of a change; return seconds until all know."""
-        began = self.now
-        first = self.nodes[self.random.choice(self.list_readers())]
-        first.revision += 1
-        revision = first.revision
-        self.tell(first)
-        while any(node.revision < revision for node in self.nodes.values()):
-            self.run_round()
-        return round(self.now - began, 2)
-
-
-def measure(count: int, random: Random) -> dict[str, Any]:
-    """Return how one fleet behaves."""
-    fleet = Fleet(count, random)
-    settled = []
-    for _ in range(60):
-        fleet.run_round()
-        settled.append(len(fleet.list_readers()))
-    for node in fleet.nodes.values():
-        node.octets = 0
-    began = fleet.now
-    for _ in range(20):
-        fleet.run_round()
-    seconds = fleet.now - began
-    readers = set(fleet.list_readers())
+from typing import Any, Final
+
+from experiments.reader_fleet import ReaderFleet
+from keelgap.catalog import defaults
+from keelgap.catalog.readers import compute_rank
+
+__all__ = ('measure',)
+
+SIZES: Final = (8, 25, 26, 100, 370, 1000, 2600)
+SETTLE_SECONDS: Final = 5.0
+QUIET_SECONDS: Final = 20.0
+LOSS: Final = 0.1
+#: Largest fleet of which all starts are simulated; balancers of a larger one
+#: take too long to get to know each other.
+MAX_STARTED: Final = 400
+LIMIT_SECONDS: Final = 30.0
+
+
+def start_settled(count: int, seed: int) -> ReaderFleet:
+    """Return a fleet in which all know each other and three read."""
+    fleet = ReaderFleet(count, seed)
+    fleet.start_settled(fleet.hosts)
+    fleet.run(SETTLE_SECONDS)
+    return fleet
+
+
+def measure_days(fleet: ReaderFleet) -> dict[str, Any]:
+    """Return octets by role, and how often readers changed."""
+    for counted in fleet.balancers.values():
+        counted.octets = 0
+    fleet.changes.clear()
+    fleet.run(QUIET_SECONDS)
+    quiet_changes = len(fleet.changes)
     rates = {
-        host: sender.octets / seconds for host, sender in fleet.nodes.items()
+        host: balancer.octets / QUIET_SECONDS
+        for host, balancer in fleet.balancers.items()
+    }
+    readers = set(fleet.list_readers())
+    ranked = sorted(fleet.balancers, key=compute_rank)
+    candidates = set(ranked[: defaults.CANDIDATE_COUNT]) - readers
+    fleet.loss = LOSS
+    fleet.changes.clear()
+    fleet.run(QUIET_SECONDS)
+    fleet.loss = 0
+    return {
+        'octets_a_second': {
+            'readers': _average(rates, readers),
+            'candidates': _average(rates, candidates),
+            'others': _average(rates, set(rates) - readers - candidates),
+        },
+        'role_changes_in_20_quiet_s': quiet_changes,
+        'role_changes_in_20_lossy_s': len(fleet.changes),
+    }
+
+
+def measure_loss(
+    fleet: ReaderFleet, lose: Callable[[ReaderFleet], None]
+) -> dict[str, float]:
+    """Return the parts of the time until a change is known after a loss."""
+    fleet.run(5 + fleet.random.random())
+    lose(fleet)
+    fleet.change()
+    reads = fleet.time_until(
+        lambda: bool(fleet.list_readers()), LIMIT_SECONDS, 0.01
+    )
+    answered = fleet.time_until(
+        lambda: fleet.count_behind(fleet.balancers) < len(fleet.balancers),
+        LIMIT_SECONDS,
+        0.01,
+    )
+    spread = fleet.time_until(
+        lambda: not fleet.count_behind(fleet.balancers), LIMIT_SECONDS, 0.05
+    )
+    return {
+        'begins': reads,
+        'answered': answered,
+        'spread': spread,
+        'sum': round(reads + answered + spread, 2),
     }
-    spreads = [fleet.spread() for _ in range(3)]
-    for host in fleet.list_readers():
-        fleet.nodes.pop(host)
-    replaced: float = 0
-    while not fleet.list_readers() and replaced < 60:
-        fleet.run_round()
-        replaced += defaults.GOSSIP_INTERVAL_SECONDS
+
+
+def measure_herds(fleet: ReaderFleet, count: int, seed: int) -> dict[str, Any]:
+    """Return readers and load after all went on, and after all started."""
+    with fleet.pause(fleet.hosts):
+        fleet.run(20)
+    herds = {'all_go_on': _watch_herd(fleet)}
+    if count <= MAX_STARTED:
+        started = ReaderFleet(count, seed)
+        started.start(started.hosts)
+        herds['all_start'] = _watch_herd(started)
+    return herds
+
+
+def _watch_herd(fleet: ReaderFleet) -> dict[str, Any]:
+    """Return the readers after some seconds, and the most load in one."""
+    readers = []
+    most_reads = 0
+    most_messages = 0
+    for _ in range(15):
+        fleet.reads = 0
+        for balancer in fleet.balancers.values():
+            balancer.messages_in = 0
+        fleet.run(1)
+        readers.append(len(fleet.list_readers()))
+        most_reads = max(most_reads, fleet.reads)
+        busiest = max(one.messages_in for one in fleet.balancers.values())
+        most_messages = max(most_messages, busiest)
     return {
+        'readers_after_1_2_5_15_s': [readers[at] for at in (0, 1, 4, 14)],
+        'most_store_calls_in_a_second': most_reads,
+        'most_messages_to_one_in_a_second': most_messages,
+    }
+
+
+def _kill_readers(fleet: ReaderFleet) -> None:
+    fleet.kill(fleet.list_readers())
+
+
+def _kill_candidates(fleet: ReaderFleet) -> None:
+    ranked = sorted(fleet.balancers, key=compute_rank)
+    fleet.kill(ranked[: defaults.CANDIDATE_COUNT])
+
+
+def measure(count: int, seed: int) -> dict[str, Any]:
+    """Return how fleets of one size behave."""
+    began = time.monotonic()
+    report: dict[str, Any] = {
         'balancers': count,
-        'readers_after_5_15_30_s': [settled[9], settled[29], settled[59]],
-        'octets_a_second_of_a_reader': _average(rates, readers),
-        'octets_a_second_of_others': _average(rates, set(rates) - readers),
-        'seconds_until_all_know': spreads,
-        'seconds_without_reader_after_all_died': replaced,
+        **measure_days(start_settled(count, seed)),
+        'readers_killed': measure_loss(
+            start_settled(count, seed + 1), _kill_readers
+        ),
     }
+    lossy = start_settled(count, seed + 2)
+    lossy.loss = LOSS
+    report['readers_killed_on_lossy_links'] = measure_loss(lossy, _kill_readers)
+    if count > defaults.CANDIDATE_COUNT:
+        report['all_candidates_killed'] = measure_loss(
+            start_settled(count, seed + 3), _kill_candidates
+        )
+    report.update(measure_herds(start_settled(count, seed + 4), count, seed))
+    report['seconds_of_this_run'] = round(time.monotonic() - began, 1)
+    return report
 
 
 def _average(rates: dict[str, float], hosts: set[str]) -> int:
@@ -176,11 +168,10 @@
     """Measure all sizes."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--seed', type=int, default=1)
-    random = Random(parser.parse_args().seed)
-    for count in SIZES:
-        row = measure(count, random)
-        report = {'readers': catalog_defaults.READER_COUNT, **row}
-        print(json.dumps(report), flush=True)
+    parser.add_argument('--sizes', type=int, nargs='*', default=SIZES)
+    arguments = parser.parse_args()
+    for count in arguments.sizes:
+        print(json.dumps(measure(count, arguments.seed)), flush=True)
 
 
 if __name__ == '__main__':
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/defaults.py
@@ -347,8 +347,9 @@
 #: Number of balancers that are sent a message and probed in each round.
 PROBE_FANOUT: Final = 1
 
-#: Number of receivers of each message from a balancer that reads the store.
-READER_GOSSIP_FANOUT: Final = catalog_defaults.READER_FANOUT
+#: Number of receivers of a change from a balancer that reads the store, and
+#: maximum number of balancers to which it introduces itself in a round.
+READER_GOSSIP_FANOUT: Final = 24
 
 #: In a small fleet a balancer that was silent for this long is removed.
 PEER_TIMEOUT_SECONDS: Final = 10.0
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 
 from keelgap.addresses import Address
+from keelgap.catalog import defaults as catalog_defaults
 from keelgap.catalog.driver import CatalogDriver
-from keelgap.catalog.readers import ReaderClaim, ReaderElection
+from keelgap.catalog.readers import ReaderElection
 from keelgap.packets.envelopes import (
     Envelope,
     EnvelopeKind,
@@ -61,8 +62,10 @@
         """Begin to send messages at regular intervals."""
         self.sock = sock
         self.peer_port = peer_port
-        self.process.loop.call_every(
-            defaults.GOSSIP_INTERVAL_SECONDS, self._run_round
+        loop = self.process.loop
+        loop.call_every(defaults.GOSSIP_INTERVAL_SECONDS, self._run_round)
+        loop.call_every(
+            catalog_defaults.READER_CHECK_SECONDS, self._check_reader_role
         )
         self.send_gossip()
 
@@ -71,12 +74,12 @@
 
         A receiver that is probed is asked for a reply.
         """
-        # A reader that lost the store sends to as many: the others must learn
-        # that they cannot rely on it.
-        is_reader = self.readers.is_reader
         now = self.process.loop.clock()
         receivers = self.peers.select_receivers(
-            is_reader=is_reader,
+            self.readers.list_receivers(now),
+            # A reader that lost the store sends to as many: the others must
+            # learn that they cannot rely on it.
+            is_reader=self.readers.is_reader,
             is_round=is_round,
         )
         for position, host in enumerate(receivers):
@@ -132,28 +135,54 @@
         return self.readers.is_reader and self.catalog.is_answered
 
     def _run_round(self) -> None:
-        """Apply timeouts, choose the readers of the store, and send gossip.
+        """Apply timeouts and send gossip.
 
         Called every GOSSIP_INTERVAL_SECONDS.
         """
         now = self.process.loop.clock()
-        lost = self.peers.tick(now)
+        self.peers.tick(now)
+        lost = self.peers.take_removed()
         self.balancer_infos.forget(lost)
+        for lost_host in lost:
+            self.readers.record_loss(lost_host, now)
+        if self.found or lost:
+            self.readers.change_fleet(self.peers.last_heard)
         self._log_changes(lost)
-        self._update_reader_role(now)
+        self._check_reader_role()
         self.send_gossip(is_round=True)
 
-    def _update_reader_role(self, now: float) -> None:
-        """Decide whether this balancer reads the store; apply the decision."""
+    def _check_reader_role(self) -> None:
+        """Decide whether this balancer reads the store; apply the decision.
+
+        Called every READER_CHECK_SECONDS.
+        """
+        now = self.process.loop.clock()
         was_reader = self.readers.is_reader
-        is_reader = self.readers.decide(now, self.peers.last_heard)
+        shortage_since = self.readers.shortage_since
+        is_reader = self.readers.decide(now)
         self.catalog.set_reader_role(is_reader, len(self.peers.last_heard) + 1)
         if is_reader != was_reader:
-            self.process.lines.log(
-                'reading_store' if is_reader else 'following_readers',
-                other_readers=self.readers.list_fresh(now),
-                revision=self.catalog.state.revision,
-            )
+            self._log_role(now, shortage_since)
+        if is_reader and not was_reader:
+            # Others that wait for their turn need not start.
+            self.send_gossip()
+
+    def _log_role(self, now: float, shortage_since: float | None) -> None:
+        """Log that this balancer began or ceased to read the store."""
+        readers = self.readers
+        since = now if shortage_since is None else shortage_since
+        known = list(readers.claim_times.items())
+        self.process.lines.log(
+            'reading_store' if readers.is_reader else 'following_readers',
+            other_readers=readers.list_fresh(now)[:MAX_LISTED],
+            claim_ages={
+                host: round(now - claimed_at, 3)
+                for host, claimed_at in known[:MAX_LISTED]
+            },
+            waited=round(now - since, 3),
+            higher_ranked=readers.higher_ranked,
+            revision=self.catalog.state.revision,
+        )
 
     def _record_claims(
         self, host: str, gossip: GossipMessage, now: float
@@ -161,10 +190,7 @@
         """Record which balancers read the store, according to a message."""
         for claim in gossip.claims:
             self.readers.record_claim(claim, now)
-        if gossip.is_reader:
-            self.readers.record_claim(ReaderClaim(host, 0), now)
-        else:
-            self.readers.record_withdrawal(host, now)
+        self.readers.record_message(host, now, is_reader=gossip.is_reader)
 
     def _log_changes(self, lost: tuple[str, ...]) -> None:
         """Log the balancers found since the last log line, and those lost."""
@@ -182,11 +208,12 @@
     def _send_to_peer(self, host: str, *, wants_reply: bool = False) -> None:
         """Send a gossip message with what this balancer knows to another."""
         catalog_state = self.catalog.state
+        now = self.process.loop.clock()
         gossip = GossipMessage(
             catalog_state.revision if catalog_state.complete else 0,
             self._is_active_reader,
             self.peers.list_recent_peers(),
-            self.readers.make_claims(self.process.loop.clock()),
+            self.readers.make_claims(now),
             self.peers.incarnation,
             wants_reply,
             self.peers.take_updates(),
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/peers.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/peers.py
@@ -15,7 +15,8 @@
 
 from collections.abc import Iterable
 from enum import IntEnum
-from typing import Final, NamedTuple
+from itertools import islice
+from typing import Any, Final, NamedTuple
 
 from keelgap_balancer.packets import defaults
 
@@ -84,6 +85,10 @@
         self.suspected: dict[str, float] = {}
         #: Changes still to be disseminated, by host.
         self.updates: dict[str, _PendingChange] = {}
+        #: Balancers removed since ``take_removed`` was called.
+        self.removed: set[str] = set()
+        #: Balancers that are alive, latest message last.
+        self.recent: dict[str, None] = {}
         #: Index of the first receiver of the last round.
         self.first_receiver = 0
         self.last_tick_at = float('-inf')
@@ -113,6 +118,7 @@
         """
         is_new = host not in self.last_heard
         self.last_heard[host] = now
+        self._move_to_front(host)
         self.awaiting_reply.pop(host, None)
         was_suspected = self.suspected.pop(host, None) is not None
         known = self.incarnations.get(host, _UNKNOWN)
@@ -153,16 +159,23 @@
         for probed_host, since in tuple(self.awaiting_reply.items()):
             if now - since >= defaults.PROBE_TIMEOUT_SECONDS:
                 self._suspect(probed_host, now)
-        lost = tuple(
-            host for host in self.last_heard if self._is_lost(host, now)
-        )
+        lost = self._list_lost(now)
         for lost_host in lost:
             change = PeerChange(
                 lost_host, self.incarnations[lost_host], PeerStatus.LOST
             )
             self._remove(lost_host)
             self._record_change(change)
-        return lost
+        return tuple(lost)
+
+    def take_removed(self) -> tuple[str, ...]:
+        """Return the balancers removed since the last call.
+
+        They timed out here, or another balancer reported them lost.
+        """
+        removed = self.removed.difference(self.last_heard)
+        self.removed.clear()
+        return tuple(removed)
 
     def should_probe(self, host: str, position: int) -> bool:
         """Return whether to probe a receiver.
@@ -189,44 +202,45 @@
 
     def select_receivers(
         self,
+        wanted: Iterable[str] = (),
         *,
         is_reader: bool,
         is_round: bool = False,
     ) -> list[str]:
         """Return the hosts to send to next: all, or a few in turn if many.
 
-        Balancers that have not replied to a probe are included each time, as
-        are those under suspicion.
+        ``wanted`` are included each time if they are alive, as are balancers
+        that have not replied to a probe and those under suspicion.  The first
+        host of a round is that whose turn it is.
         """
         hosts = list(
             dict.fromkeys((*self.last_heard, *self.unconfirmed, *self.seeds))
         )
+        unconfirmed = self.unconfirmed
         self.unconfirmed = set()
-        max_receivers = defaults.MAX_GOSSIP_PEERS
-        fanout = defaults.GOSSIP_FANOUT
-        if is_round:
-            # Each probe also causes a reply.
-            fanout = defaults.PROBE_FANOUT
-        if is_reader:
-            # The others must know which balancers read the store.
-            max_receivers = defaults.READER_GOSSIP_FANOUT
-            fanout = max_receivers
-        if len(hosts) <= max_receivers:
+        if len(hosts) <= defaults.MAX_GOSSIP_PEERS:
             return hosts
-        # The other hosts follow in the next rounds.
-        self.first_receiver = (self.first_receiver + fanout) % len(hosts)
-        chosen = (hosts * 2)[self.first_receiver : self.first_receiver + fanout]
+        chosen = self._choose_next(
+            hosts, _compute_fanout(is_reader=is_reader, is_round=is_round)
+        )
+        if is_reader:
+            # It may have started just now, so that few know it.
+            chosen += unconfirmed
+        chosen += [host for host in wanted if host in self.last_heard]
         probed_hosts = (*self.awaiting_reply, *self.suspected)[
             : defaults.GOSSIP_FANOUT
         ]
-        return list(dict.fromkeys((*chosen, *probed_hosts)))
+        receivers = list(dict.fromkeys(chosen))
+        return list(
+            dict.fromkeys((
+                *receivers[: defaults.READER_GOSSIP_FANOUT],
+                *probed_hosts,
+            ))
+        )
 
     def list_recent_peers(self) -> tuple[str, ...]:
         """Return the balancers to mention to peers, latest message first."""
-        latest = sorted(
-            self.last_heard, key=self.last_heard.__getitem__, reverse=True
-        )
-        return tuple(latest[: defaults.MAX_GOSSIP_PEERS])
+        return tuple(islice(reversed(self.recent), defaults.MAX_GOSSIP_PEERS))
 
     def take_updates(self) -> tuple[PeerChange, ...]:
         """Return the changes of status to send with one message.
@@ -257,6 +271,7 @@
             if change.incarnation <= known:
                 return False
             self.last_heard[host] = now
+            self._move_to_front(host)
             self.suspected.pop(host, None)
             self._record_change(change)
             return not is_known
@@ -289,16 +304,46 @@
                 PeerChange(host, incarnation, PeerStatus.SUSPECTED)
             )
 
-    def _is_lost(self, host: str, now: float) -> bool:
-        """Return whether a balancer was suspected or silent for too long."""
-        since = self.suspected.get(host)
-        if since is not None:
-            return now - since >= defaults.SUSPICION_TIMEOUT_SECONDS
-        heard_at = max(self.last_heard[host], self.small_fleet_since)
-        return now - heard_at > defaults.PEER_TIMEOUT_SECONDS
+    def _choose_next(self, hosts: list[str], count: int) -> list[str]:
+        """Return the next hosts in turn; the others follow in later rounds."""
+        start = (self.first_receiver + count) % len(hosts)
+        self.first_receiver = start
+        return (hosts[start:] + hosts[:start])[:count]
+
+    def _list_lost(self, now: float) -> list[str]:
+        """Return balancers that were suspected or silent for too long.
+
+        Silence alone is no sign of a loss in a large fleet.
+        """
+        suspected_limit = now - defaults.SUSPICION_TIMEOUT_SECONDS
+        lost = [
+            host
+            for host, since in self.suspected.items()
+            if since <= suspected_limit
+        ]
+        heard_limit = now - defaults.PEER_TIMEOUT_SECONDS
+        if self.small_fleet_since < heard_limit:
+            lost += [
+                host
+                for host, heard_at in self.last_heard.items()
+                if heard_at < heard_limit and host not in self.suspected
+            ]
+        return lost
+
+    def _move_to_front(self, host: str) -> None:
+        """Record that a balancer was the latest to be heard of."""
+        self.recent.pop(host, None)
+        self.recent[host] = None
 
     def _remove(self, host: str) -> None:
-        for table in (self.last_heard, self.awaiting_reply, self.suspected):
+        self.removed.add(host)
+        tables: tuple[dict[str, Any], ...] = (
+            self.last_heard,
+            self.recent,
+            self.awaiting_reply,
+            self.suspected,
+        )
+        for table in tables:
             table.pop(host, None)
 
     def _record_change(self, change: PeerChange) -> None:
@@ -310,5 +355,16 @@
         )
 
 
+def _compute_fanout(*, is_reader: bool, is_round: bool) -> int:
+    """Return to how many balancers of a large fleet to send in turn."""
+    if is_round:
+        # Each probe also causes a reply.
+        return defaults.PROBE_FANOUT
+    # All others depend on readers to learn of a change.
+    return (
+        defaults.READER_GOSSIP_FANOUT if is_reader else defaults.GOSSIP_FANOUT
+    )
+
+
 def _get_remaining_sends(update: _PendingChange) -> int:
     return update.remaining_sends
--- a/packages/keelgap/src/keelgap/catalog/defaults.py
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -10,11 +10,13 @@
     'STARTUP_RETRY_MAX_SECONDS',
     'BATCH_PAUSE_SECONDS',
     'MAX_RECENT_CHANGES',
-    'READER_FANOUT',
-    'RELAYED_CLAIM_TTL_SECONDS',
     'PEER_FETCH_SECONDS',
     'PROBE_WAIT_SECONDS',
     'READER_COUNT',
+    'CANDIDATE_COUNT',
+    'RELAY_ROUND_SECONDS',
+    'READER_CHECK_SECONDS',
+    'MAX_DECISION_GAP_SECONDS',
     'CLAIM_TTL_SECONDS',
     'READER_STAGGER_SECONDS',
     'RETRY_FIRST_SECONDS',
@@ -64,17 +66,25 @@
 #: two may be cut off at once; a third serves the others until that is detected.
 READER_COUNT: Final = 3
 
-#: Time after which the claim of a reader expires: three messages.
+#: Number of processes of highest rank that read the store or take over from
+#: readers that are lost.  They send to each other twice per second, 8 messages
+#: of 112 octets including headers each, which are 1.8 KB/s.
+CANDIDATE_COUNT: Final = 9
+
+#: Time after which the claim of a reader expires at candidates, which hear it
+#: directly: three messages.
 CLAIM_TTL_SECONDS: Final = 1.6
 
-#: Processes to which a reader sends its claim and revision every half second:
-#: 24 messages of 112 octets including headers, twice per second, are 5.4 KB/s.
-READER_FANOUT: Final = 24
+#: Additional time after which a relayed claim expires, for each doubling of the
+#: number of processes.
+RELAY_ROUND_SECONDS: Final = 0.5
+
+#: Pause between two decisions whether to read.  It adds to the time without a
+#: reader after a loss.
+READER_CHECK_SECONDS: Final = 0.1
 
-#: Replaces CLAIM_TTL_SECONDS in fleets in which most processes learn of readers
-#: from others: claims are relayed in about 11 rounds of half a second at 2,600
-#: processes.
-RELAYED_CLAIM_TTL_SECONDS: Final = 8.0
+#: A longer time between two decisions means that this process stood still.
+MAX_DECISION_GAP_SECONDS: Final = 1.2
 
 #: Delay by which each lower rank waits longer before it starts to read in place
 #: of higher ranks that do not; the claim of a new reader arrives within half a
--- a/packages/keelgap/src/keelgap/catalog/driver.py
+++ b/packages/keelgap/src/keelgap/catalog/driver.py
@@ -94,6 +94,9 @@
         self.builder = CatalogBuilder(decoders, self._report_faults)
         self.state = FollowerState(loop.clock())
         self.store: StoreReader
+        #: Returns the client of a peer.
+        self.make_client: Callable[[EventLoop, Address], HttpClient]
+        self.make_client = HttpClient
         self.peer_client: HttpClient | None = None
         self.handlers = MappingProxyType[type, Callable[[Any], None]]({
             ReadPage: self._schedule_page,
@@ -200,7 +203,7 @@
         if client is None or client.address != effect.peer:
             if client is not None:
                 client.close()
-            client = HttpClient(self.loop, effect.peer)
+            client = self.make_client(self.loop, effect.peer)
             self.peer_client = client
         after = self.state.revision if self.state.complete else 0
         client.get(
--- a/tests/keelgap/test_readers.py
+++ b/tests/keelgap/test_readers.py
@@ -56,22 +56,22 @@
             for other, at in heard.items()
             if other != host and self.now - at < 10
         ]
-        self.readers[host].decide(self.now, known)
+        self.readers[host].change_fleet(known)
+        self.readers[host].decide(self.now)
         reads = self.readers[host].is_reader and host not in self.cut
         claims = self.readers[host].make_claims(self.now)
-        receivers = list(self.readers)
-        if not self.readers[host].is_reader:
-            receivers = self.random.sample(receivers, min(2, len(receivers)))
+        others = self.random.sample(
+            list(self.readers), min(2, len(self.readers))
+        )
+        receivers = {*others, *self.readers[host].list_receivers(self.now)}
+        receivers &= self.readers.keys()
         for other in receivers:
             if other == host or self.random.random() < self.loss:
                 continue
             self.heard[other][host] = self.now
             for claim in claims:
                 self.readers[other].record_claim(claim, self.now)
-            if reads:
-                self.readers[other].record_claim(ReaderClaim(host, 0), self.now)
-            else:
-                self.readers[other].record_withdrawal(host, self.now)
+            self.readers[other].record_message(host, self.now, is_reader=reads)
 
 
 class ReaderTests(TestCase):
