--- a/experiments/reader_fleet.py
+++ b/experiments/reader_fleet.py
@@ -173,7 +173,9 @@
 
         def serve() -> None:
             page = peer.catalog.make_catalog_page(query)
-            self._respond_later(back, HttpResponse(page.status, page.body))
+            self._respond_later(
+                fleet.send_seconds + back, HttpResponse(page.status, page.body)
+            )
 
         clock.later(
             clock.now + 2 * there + back,
@@ -229,7 +231,7 @@
             self._handle_status,
             self._log,
         )
-        self.catalog.make_client = lambda loop, address: cast(
+        self.catalog.peer_clients.make_client = lambda loop, address: cast(
             'Any', _PeerClient(self, address)
         )
         self.was_answered = True
@@ -326,6 +328,8 @@
         self.frozen: set[str] = set()
         self.changes: list[RoleChange] = []
         self.starts = 0
+        #: How long a balancer takes to send its catalog, in seconds.
+        self.send_seconds: float = 0
         #: Calls of the store that were answered.
         self.reads = 0
         #: Ends the watch of a balancer that waits for a change.
--- a/packages/keelgap/src/keelgap/catalog/defaults.py
+++ b/packages/keelgap/src/keelgap/catalog/defaults.py
@@ -11,6 +11,9 @@
     'BATCH_PAUSE_SECONDS',
     'MAX_RECENT_CHANGES',
     'PEER_FETCH_SECONDS',
+    'MAX_PEER_FETCHES',
+    'PEER_FAILURE_SECONDS',
+    'MAX_PEERS_AHEAD',
     'PROBE_WAIT_SECONDS',
     'READER_COUNT',
     'CANDIDATE_COUNT',
@@ -104,5 +107,15 @@
 #: that the total rate of requests stays the same.
 RETRY_MAX_SECONDS: Final = 0.8
 
-#: Minimum interval between fetches of a later catalog from peers.
+#: Minimum interval between fetches of a later catalog from peers.  If a peer
+#: has not answered by then, another one is asked as well.
 PEER_FETCH_SECONDS: Final = 0.2
+
+#: Maximum number of peers whose catalogs are awaited at once.
+MAX_PEER_FETCHES: Final = 3
+
+#: How long peers are preferred to one from which a fetch failed.
+PEER_FAILURE_SECONDS: Final = 2.0
+
+#: Maximum number of peers that are remembered as ahead.
+MAX_PEERS_AHEAD: Final = 8
--- a/packages/keelgap/src/keelgap/catalog/driver.py
+++ b/packages/keelgap/src/keelgap/catalog/driver.py
@@ -18,12 +18,14 @@
     FollowerEffect,
     ReadFirstPageAgain,
     ReadPage,
+    StoreAskedBehind,
     StoreLost,
     StoreRegained,
     WatchChanges,
 )
 from keelgap.catalog.events import (
     CatchUpRequested,
+    FetchEnded,
     FollowerEvent,
     PeerAhead,
     ReaderRoleDecided,
@@ -31,8 +33,9 @@
 )
 from keelgap.catalog.follower import reduce, start
 from keelgap.catalog.models import Catalog
+from keelgap.catalog.peer_clients import PeerClients
 from keelgap.catalog.state import FollowerState
-from keelgap.runtime.http import HttpClient, HttpResponse
+from keelgap.runtime.http import HttpResponse
 from keelgap.runtime.json_log import MAX_LISTED, JsonLog
 from keelgap.runtime.loop import EventLoop
 from keelgap.runtime.pages import Page
@@ -94,16 +97,14 @@
         self.builder = CatalogBuilder(decoders, self._report_faults)
         self.state = FollowerState(loop.clock())
         self.store: StoreReader
-        #: Returns the client of a peer.
-        self.make_client: Callable[[EventLoop, Address], HttpClient]
-        self.make_client = HttpClient
-        self.peer_client: HttpClient | None = None
+        self.peer_clients = PeerClients(loop)
         self.handlers = MappingProxyType[type, Callable[[Any], None]]({
             ReadPage: self._schedule_page,
             ReadFirstPageAgain: self._read_first_page_again,
             WatchChanges: self._schedule_watch,
             FetchCatalog: self._fetch_catalog,
             EntriesChanged: self._apply_changes,
+            StoreAskedBehind: self._log_asked_behind,
             StoreLost: self._log_store_lost,
             StoreRegained: self._log_store_regained,
         })
@@ -199,35 +200,41 @@
 
     def _fetch_catalog(self, effect: FetchCatalog) -> None:
         """Request the changes that are missing here from a peer."""
-        client = self.peer_client
-        if client is None or client.address != effect.peer:
-            if client is not None:
-                client.close()
-            client = self.make_client(self.loop, effect.peer)
-            self.peer_client = client
         after = self.state.revision if self.state.complete else 0
-        client.get(
+        pending = self.state.peer_fetches.pending
+        self.peer_clients.get(effect.peer, pending).get(
             f'{CATALOG_PATH}?{after}',
             _FETCH_TIMEOUT_SECONDS,
-            self._handle_peer_response,
+            lambda response: self._handle_peer_response(effect.peer, response),
         )
 
-    def _handle_peer_response(self, response: HttpResponse) -> None:
+    def _handle_peer_response(
+        self, peer: Address, response: HttpResponse
+    ) -> None:
         """Handle the catalog of a peer, or log why the fetch failed."""
+        event = self._read_peer_response(peer, response)
+        if event is not None:
+            self.handle_event(event)
+        now = self.loop.clock()
+        self.handle_event(FetchEnded(now, peer, failed=event is None))
+
+    def _read_peer_response(
+        self, peer: Address, response: HttpResponse
+    ) -> FollowerEvent | None:
+        """Return the catalog of a peer, or log why there is none."""
         reason = response.failure
         if response.status == _OK:
             try:
-                event = decode_catalog(self.loop.clock(), response.body)
+                return decode_catalog(self.loop.clock(), response.body)
             except MalformedCatalog as error:
                 reason = str(error)
-            else:
-                self.handle_event(event)
-                return
         self.lines.log_decision(
             'fetch_failed',
+            peer=peer.host,
             status=response.status,
             reason=reason,
         )
+        return None
 
     def _apply_changes(self, effect: EntriesChanged) -> None:
         """Update and log the catalog, and pass it to the callback."""
@@ -250,6 +257,14 @@
         )
         self.on_catalog(catalog)
 
+    def _log_asked_behind(self, effect: StoreAskedBehind) -> None:
+        self.lines.log_decision(
+            'store_asked_behind',
+            waited=round(effect.waited, 3),
+            peers=[peer.host for peer in effect.peers],
+            revision=self.state.revision,
+        )
+
     def _log_store_lost(self, effect: StoreLost) -> None:
         self.lines.log(
             'store_lost',
--- a/packages/keelgap/src/keelgap/catalog/effects.py
+++ b/packages/keelgap/src/keelgap/catalog/effects.py
@@ -12,6 +12,7 @@
     'FollowerEffect',
     'ReadFirstPageAgain',
     'ReadPage',
+    'StoreAskedBehind',
     'StoreLost',
     'StoreRegained',
     'WatchChanges',
@@ -70,6 +71,15 @@
     has_gap: bool = False
 
 
+class StoreAskedBehind(NamedTuple):
+    """Log that the store is asked because no peer delivers its catalog."""
+
+    #: Seconds since a peer announced a later revision.
+    waited: float
+    #: Peers that announced a later one.
+    peers: tuple[Address, ...]
+
+
 class StoreLost(NamedTuple):
     """Log that the store was lost: a request failed after one succeeded."""
 
@@ -90,6 +100,7 @@
     | WatchChanges
     | FetchCatalog
     | EntriesChanged
+    | StoreAskedBehind
     | StoreLost
     | StoreRegained
 )
--- a/packages/keelgap/src/keelgap/catalog/events.py
+++ b/packages/keelgap/src/keelgap/catalog/events.py
@@ -11,6 +11,7 @@
     'ChangesRead',
     'DeltaReceived',
     'EntryChange',
+    'FetchEnded',
     'FollowerEvent',
     'HistoryLost',
     'PageRead',
@@ -86,6 +87,15 @@
     revision: int
 
 
+class FetchEnded(NamedTuple):
+    """A peer sent its catalog, or the fetch failed or timed out."""
+
+    now: float
+    peer: Address
+    #: Whether no usable catalog arrived.
+    failed: bool
+
+
 class SnapshotReceived(NamedTuple):
     """A peer sent all entries of the store that it knows."""
 
@@ -129,6 +139,7 @@
     | CatchUpRequested
     | DeltaReceived
     | PeerAhead
+    | FetchEnded
     | ReaderRoleDecided
     | SnapshotReceived
     | TimerFired
--- a/packages/keelgap/src/keelgap/catalog/follower.py
+++ b/packages/keelgap/src/keelgap/catalog/follower.py
@@ -11,8 +11,12 @@
 from typing import Any, Final
 
 from keelgap.catalog import defaults
+from keelgap.catalog.catching_up import (
+    fetch_from_peer,
+    handle_fetch_end,
+    handle_peer_ahead,
+)
 from keelgap.catalog.effects import (
-    FetchCatalog,
     FollowerEffect,
     ReadFirstPageAgain,
     ReadPage,
@@ -25,6 +29,7 @@
     CatchUpRequested,
     ChangesRead,
     DeltaReceived,
+    FetchEnded,
     FollowerEvent,
     HistoryLost,
     PageRead,
@@ -134,7 +139,7 @@
     """End the pause between watches early, or fetch changes from a peer."""
     if event.now >= state.batching_until:
         # A request is pending, or this process follows its peers.
-        return _fetch_from_peer(state, event.now)
+        return fetch_from_peer(state, event.now)
     state.batching_until = event.now
     return (WatchChanges(0, state.revision, defaults.WATCH_WAIT_SECONDS),)
 
@@ -153,9 +158,11 @@
 def _restart_reading(state: FollowerState, event: HistoryLost) -> Effects:
     """Read all entries again, because the store lost the next changes.
 
-    A process that knows all entries and is not a reader goes idle instead.
+    A process that knows all entries and is not a reader goes idle instead,
+    unless it asked because peers do not deliver theirs.
     """
-    if state.complete and not state.is_reader:
+    is_behind = bool(state.peer_fetches.revisions)
+    if state.complete and not state.is_reader and not is_behind:
         return _go_idle(state)
     _end_reading(state)
     state.reading_after = ''
@@ -201,23 +208,9 @@
     return defaults.STARTUP_RETRY_MAX_SECONDS * state.retry_scale
 
 
-def _handle_peer_ahead(state: FollowerState, event: PeerAhead) -> Effects:
-    """Record a peer that holds a later revision of the catalog.
-
-    Its catalog is fetched now unless the store may still deliver that revision
-    or a peer was asked shortly before.
-    """
-    if event.revision <= state.revision:
-        return ()
-    if state.peer_ahead is None:
-        state.behind_since = event.now
-    state.peer_ahead = event
-    return _fetch_from_peer(state, event.now)
-
-
 def _handle_timer(state: FollowerState, event: TimerFired) -> Effects:
     return (
-        *_fetch_from_peer(state, event.now),
+        *fetch_from_peer(state, event.now),
         *_retry_first_page(state, event.now),
     )
 
@@ -237,25 +230,6 @@
     return (ReadFirstPageAgain(),)
 
 
-def _fetch_from_peer(state: FollowerState, now: float) -> Effects:
-    """Fetch a later catalog from a peer if the store does not deliver it."""
-    peer_ahead = state.peer_ahead
-    if peer_ahead is None:
-        return ()
-    if peer_ahead.revision <= state.revision:
-        state.peer_ahead = None
-        return ()
-    is_within_tolerance = (
-        now - state.behind_since < defaults.BEHIND_TOLERANCE_SECONDS
-    )
-    if state.is_reader and state.reaches_store and is_within_tolerance:
-        return ()
-    if now - state.fetched_at < defaults.PEER_FETCH_SECONDS:
-        return ()
-    state.fetched_at = now
-    return (FetchCatalog(peer_ahead.peer),)
-
-
 def _handle_snapshot(state: FollowerState, event: SnapshotReceived) -> Effects:
     """Replace all entries by those of a peer if they are later."""
     if event.revision <= state.revision:
@@ -280,7 +254,8 @@
         CatchUpRequested: _handle_catch_up,
         DeltaReceived: _handle_delta,
         ReaderRoleDecided: _handle_reader_role,
-        PeerAhead: _handle_peer_ahead,
+        PeerAhead: handle_peer_ahead,
+        FetchEnded: handle_fetch_end,
         SnapshotReceived: _handle_snapshot,
         TimerFired: _handle_timer,
     })
--- a/packages/keelgap/src/keelgap/catalog/state.py
+++ b/packages/keelgap/src/keelgap/catalog/state.py
@@ -4,8 +4,9 @@
 
 from keelgap.catalog import defaults
 from keelgap.catalog.effects import EntriesChanged
-from keelgap.catalog.events import EntryChange, PeerAhead
+from keelgap.catalog.events import EntryChange
 from keelgap.catalog.models import Entry
+from keelgap.catalog.peer_fetches import PeerFetches
 
 __all__ = ('FollowerState', 'apply_changes', 'replace_entries')
 
@@ -54,12 +55,11 @@
         self.complete = False
         #: Time of the latest or scheduled request for the first page.
         self.first_page_asked_at = now
-        #: Time of the latest fetch from a peer.
-        self.fetched_at = float('-inf')
-        #: Latest announcement of a peer that holds a later revision.
-        self.peer_ahead: PeerAhead | None = None
-        #: Time since which a peer is known to hold a later revision.
-        self.behind_since = now
+        #: Peers that hold a later revision.
+        self.peer_fetches = PeerFetches()
+        #: Time at which this process, while it followed others, last asked the
+        #: store itself.
+        self.asked_behind_at = float('-inf')
 
     @property
     def max_retry_pause(self) -> float:
--- a/tests/keelgap/test_follower.py
+++ b/tests/keelgap/test_follower.py
@@ -17,6 +17,7 @@
     FollowerEffect,
     ReadFirstPageAgain,
     ReadPage,
+    StoreAskedBehind,
     StoreLost,
     StoreRegained,
     WatchChanges,
@@ -27,6 +28,7 @@
     ChangesRead,
     DeltaReceived,
     EntryChange,
+    FetchEnded,
     FollowerEvent,
     HistoryLost,
     PageRead,
@@ -39,6 +41,7 @@
 from keelgap.catalog.state import FollowerState
 
 PEER = Address('10.0.0.2', 8166)
+OTHER = Address('10.0.0.3', 8166)
 Effects = tuple[FollowerEffect, ...]
 
 
@@ -70,6 +73,12 @@
         self.state, effects = follower.reduce(self.state, event)
         return effects
 
+    def follow(self, revision: int) -> None:
+        """Read all entries, then follow the readers without a call."""
+        self.read_all(0, revision, 'a')
+        self.take(ReaderRoleDecided(0.1, is_reader=False, processes=9))
+        self.take(ChangesRead(0.2, (), revision))
+
     def read_all(self, now: float, revision: int, *keys: str) -> Effects:
         """Take a full reading in one page."""
         entries = {key: make_entry(revision) for key in keys}
@@ -369,6 +378,68 @@
         effects = self.take(DeltaReceived(2, 6, (change,), 7))
         self.assertEqual(effects, (EntriesChanged(('a',), 7, 7, 'peer'),))
 
+    def test_catalog_under_way_is_not_fetched_again(self) -> None:
+        """It may take long; another peer is asked as well, but soon."""
+        self.follow(5)
+        pause = defaults.PEER_FETCH_SECONDS
+        self.assertEqual(
+            self.take(PeerAhead(1, PEER, 6)), (FetchCatalog(PEER),)
+        )
+        self.assertEqual(self.take(PeerAhead(1 + 1.5 * pause, PEER, 6)), ())
+        self.assertEqual(
+            self.take(PeerAhead(1 + 1.6 * pause, OTHER, 6)),
+            (FetchCatalog(OTHER),),
+        )
+        self.assertEqual(self.take(TimerFired(1 + 3 * pause)), ())
+
+    def test_peer_that_failed_is_asked_after_others(self) -> None:
+        """It may be gone, though it was the last to announce."""
+        self.follow(5)
+        self.take(PeerAhead(1, PEER, 6))
+        self.take(FetchEnded(1.3, PEER, failed=True))
+        self.take(PeerAhead(1.35, OTHER, 6))
+        self.take(FetchEnded(1.4, OTHER, failed=True))
+        self.take(PeerAhead(1.45, PEER, 6))
+        self.take(FetchEnded(1.5, PEER, failed=True))
+        self.assertEqual(
+            self.take(PeerAhead(1.75, PEER, 6)), (FetchCatalog(OTHER),)
+        )
+
+    def test_follower_asks_the_store_if_no_peer_delivers(self) -> None:
+        """Readers may be heard by those that do not reach them."""
+        self.follow(5)
+        self.take(PeerAhead(1, PEER, 6))
+        self.take(FetchEnded(1.9, PEER, failed=True))
+        at = 1 + defaults.BEHIND_TOLERANCE_SECONDS
+        asked = WatchChanges(0, 5, defaults.PROBE_WAIT_SECONDS)
+        effects = self.take(TimerFired(at))
+        self.assertIn(asked, effects)
+        self.assertIn(
+            StoreAskedBehind(at - 1, (PEER,)),
+            effects,
+        )
+        self.assertNotIn(asked, self.take(TimerFired(at + 0.1)))
+        change = EntryChange('a', 6, make_entry(6))
+        effects = self.take(ChangesRead(at + 0.2, (change,), 6))
+        self.assertEqual(effects, (EntriesChanged(('a',), 6, 6, 'store'),))
+        self.assertTrue(self.state.is_idle)
+        self.assertEqual(self.take(TimerFired(at + 9)), ())
+
+    def test_follower_that_keeps_up_does_not_ask_the_store(self) -> None:
+        """Though some peer is ahead all the time."""
+        self.follow(5)
+        for number in range(30):
+            now = 1 + number / 10
+            revision = 6 + number
+            effects = self.take(PeerAhead(now, PEER, revision + 1))
+            change = EntryChange('a', revision, make_entry(revision))
+            self.take(DeltaReceived(now, revision - 1, (change,), revision))
+            self.take(FetchEnded(now, PEER, failed=False))
+            self.take(PeerAhead(now, OTHER, revision))
+            self.assertFalse([
+                one for one in effects if isinstance(one, WatchChanges)
+            ])
+
     def test_process_that_reads_again_probes_the_store(self) -> None:
         """Its connection may have gone silent meanwhile."""
         self.read_all(0, 5, 'a')
--- a/tests/packets/test_lost_readers.py
+++ b/tests/packets/test_lost_readers.py
@@ -124,6 +124,26 @@
                     fleet.run(8)
                     self._check_change(fleet, fleet.balancers, max(size, 13))
 
+    def test_readers_are_heard_and_hear_nobody(self) -> None:
+        """Guards against followers that fetch from unreachable peers only."""
+        for size in (4, 8, 10, 25, 26, 40):
+            fleet = start_fleet(size, size)
+            readers = fleet.list_readers()
+            others = set(fleet.balancers) - set(readers)
+            for host in readers:
+                fleet.blocked.update((other, host) for other in others)
+            # Failure detection forgets the others at the readers meanwhile.
+            for _ in range(3):
+                self._check_change(fleet, others, size)
+                fleet.run(6)
+
+    def test_catalogs_take_long_to_send(self) -> None:
+        """Guards against fetches that are dropped and begun anew."""
+        for size in (4, 10, 26):
+            fleet = start_fleet(size, size)
+            fleet.send_seconds = 0.5
+            self._check_change(fleet, fleet.balancers, size)
+
     def test_readers_are_killed_while_links_lose_messages(self) -> None:
         """One message in ten is lost."""
         for size in (8, 10, 25, 26, 40):
