--- /dev/null
+++ b/tests/packets/test_readers_oracle.py
@@ -0,0 +1,58 @@
+"""Losses of readers by role, under random faults."""
+
+from typing import Any
+from unittest import TestCase, mock
+
+from keelgap.catalog import catching_up, defaults
+from keelgap.catalog.readers import ReaderElection
+from tests.fuzzing import run_machine
+from tests.packets.reader_machine import ReaderMachine
+
+EXAMPLES = 12
+STEPS = 12
+
+
+def wait_for_the_lost(election: ReaderElection, now: float) -> float | None:
+    """Stand in for candidates that wait for all that rank above them."""
+    if len(election.list_fresh(now)) >= 3:
+        return None
+    return election.higher_ranked * 0.6
+
+
+def ask_nobody(state: Any, now: float, waited: float) -> tuple[()]:
+    """Stand in for followers that rely on peers alone."""
+    return ()
+
+
+DELIBERATE_FAULTS: dict[str, tuple[Any, str, Any]] = {
+    'claims that outlive their readers': (
+        defaults,
+        'CLAIM_TTL_SECONDS',
+        8.0,
+    ),
+    'candidates that wait for lost ones': (
+        ReaderElection,
+        '_compute_wait',
+        wait_for_the_lost,
+    ),
+    'followers that ask only those that told them': (
+        catching_up,
+        '_ask_store',
+        ask_nobody,
+    ),
+}
+
+
+class OracleTests(TestCase):
+    """Random sessions against the oracle."""
+
+    def test_changes_are_in_force_under_random_losses(self) -> None:
+        """No session leaves a balancer that is in touch behind."""
+        run_machine(ReaderMachine, EXAMPLES, STEPS)
+
+    def test_every_deliberate_fault_is_found(self) -> None:
+        """A fuzzer that cannot fail proves nothing."""
+        for name, (owner, attribute, stand_in) in DELIBERATE_FAULTS.items():
+            patch = mock.patch.object(owner, attribute, stand_in)
+            with self.subTest(name), patch, self.assertRaises(AssertionError):
+                run_machine(ReaderMachine, 200, STEPS, shrink=False)
