--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -356,7 +356,7 @@
     state = next(iter(net.processes.values())).state
     announce = encode_message(
         Address('10.0.0.1', 7002),
-        make_announce(state, wants_reply=True),
+        make_announce(state, net.now, wants_reply=True),
     )
     change = compute_changes(make_table(1000), make_table(1000, changed=1))
     base = get_resident()
--- a/packages/keelgap/src/keelgap/control/messages.py
+++ b/packages/keelgap/src/keelgap/control/messages.py
@@ -58,6 +58,9 @@
     versions: dict[str, DocumentVersion]
     #: Whether the receiver should reply with its own versions.
     wants_reply: bool = False
+    #: Seconds since some process was last known to read the configuration
+    #: service; None from a sender of version 1.0 that does not tell.
+    read_age: float | None = None
 
 
 class Fetch(msgspec.Struct, tag='fetch', frozen=True):
--- a/packages/keelgap/src/keelgap/dissemination/acceptance.py
+++ b/packages/keelgap/src/keelgap/dissemination/acceptance.py
@@ -22,7 +22,10 @@
     SendMessage,
 )
 from keelgap.dissemination.events import DocumentRead
-from keelgap.dissemination.neighbours import choose_neighbours, is_reader
+from keelgap.dissemination.neighbours import (
+    choose_neighbours,
+    compute_reader_turn,
+)
 from keelgap.dissemination.state import (
     DisseminationState,
     HeldDocument,
@@ -35,16 +38,19 @@
 
 Effects = tuple[DisseminationEffect, ...]
 _NOT_LATER: Final = 'keelgap.E017'
+_AGE_DIGITS: Final = 3
 
 
 def make_announce(
     state: DisseminationState,
+    now: float,
     *,
     wants_reply: bool,
 ) -> Announce:
     """Return an announcement of the versions that this process holds."""
     versions = {key: held.document.version for key, held in state.held.items()}
-    return Announce(versions, wants_reply)
+    read_age = 0 if state.reading else now - state.reading_heard_at
+    return Announce(versions, wants_reply, round(read_age, _AGE_DIGITS))
 
 
 def handle_document_read(
@@ -118,7 +124,7 @@
     held.highest_heard = max(held.highest_heard, document.version)
     announcements: Effects = ()
     if isinstance(parsed, InstanceList):
-        announcements = _apply_instances(state, parsed)
+        announcements = _apply_instances(state, parsed, now)
     if delta is None and before.content:
         delta = DocumentDelta(
             key,
@@ -126,7 +132,7 @@
             document.version,
             compute_changes(before, document),
         )
-    notifications = _notify_neighbours(state, key, delta)
+    notifications = _notify_neighbours(state, key, now, delta)
     if not state.joined:
         return (*announcements, *notifications)
     return (*notifications, PutInForce(key, document, parsed))
@@ -135,11 +141,12 @@
 def _notify_neighbours(
     state: DisseminationState,
     key: str,
+    now: float,
     delta: DocumentDelta | None,
 ) -> Effects:
     """Send the neighbours the delta if it is short, else the versions."""
     message: Announce | DocumentDelta
-    message = make_announce(state, wants_reply=False)
+    message = make_announce(state, now, wants_reply=False)
     if delta is not None:
         state.held[key].history.append(delta)
         if len(delta.changes) <= defaults.MAX_PUSHED_DELTA_LENGTH:
@@ -150,16 +157,21 @@
 def _apply_instances(
     state: DisseminationState,
     instances: InstanceList,
+    now: float,
 ) -> Effects:
     """Choose neighbours again; a joining process asks them for versions."""
     state.instances = instances
     neighbours = choose_neighbours(state.identity, instances)
     state.neighbours = neighbours or state.identity.seeds
-    state.is_elected_reader = is_reader(state.identity, instances)
+    state.reader_turn = compute_reader_turn(state.identity, instances)
+    state.is_elected_reader = not state.reader_turn
+    state.stands_in = False
+    # New readers have not been heard of yet.
+    state.reading_heard_at = now
     state.control_addresses = {
         instance.data: instance.control for instance in instances.instances
     }
     if state.joined or state.last_message_at is not None:
         return ()
-    announce = make_announce(state, wants_reply=True)
+    announce = make_announce(state, now, wants_reply=True)
     return tuple(SendMessage(peer, announce) for peer in state.neighbours)
--- a/packages/keelgap/src/keelgap/dissemination/defaults.py
+++ b/packages/keelgap/src/keelgap/dissemination/defaults.py
@@ -12,6 +12,10 @@
     'LOCAL_NEIGHBOURS',
     'MAX_PUSHED_DELTA_LENGTH',
     'READER_COUNT',
+    'READER_SILENCE_SECONDS',
+    'READER_SILENCE_DOUBLING_SECONDS',
+    'READER_STAGGER_SECONDS',
+    'MAX_TIMER_GAP_SECONDS',
     'REMOTE_NEIGHBOURS',
     'TIMER_SECONDS',
 )
@@ -27,6 +31,18 @@
 #: Neighbours in other availability zones.
 REMOTE_NEIGHBOURS: Final = 2
 
+#: A process stands in for the readers if none has been heard of for this time
+#: and a further one for each doubling of the number of processes, which tell
+#: each other in every exchange.
+READER_SILENCE_SECONDS: Final = 4.0
+READER_SILENCE_DOUBLING_SECONDS: Final = 0.5
+
+#: Delay by which processes of each later turn wait longer before they stand in.
+READER_STAGGER_SECONDS: Final = 2.0
+
+#: A longer time between two timers means that this process stood still.
+MAX_TIMER_GAP_SECONDS: Final = 2.0
+
 #: Interval between exchanges of versions with a random neighbour, which
 #: recover from lost pushes.
 ANTI_ENTROPY_SECONDS: Final = 1.0
--- a/packages/keelgap/src/keelgap/dissemination/neighbours.py
+++ b/packages/keelgap/src/keelgap/dissemination/neighbours.py
@@ -8,7 +8,7 @@
 from keelgap.instances import Instance, InstanceList
 from keelgap.routing.rendezvous import WeightedSeed, rank_members
 
-__all__ = ('choose_neighbours', 'is_reader')
+__all__ = ('choose_neighbours', 'compute_reader_turn')
 
 
 def _rank_instances(
@@ -27,14 +27,16 @@
     return rank_members(key, members, count)
 
 
-def is_reader(
+def compute_reader_turn(
     identity: DisseminationIdentity,
     instances: InstanceList,
-) -> bool:
-    """Return whether this process is a reader of its availability zone.
+) -> int:
+    """Return when this process reads for its availability zone.
 
-    All processes with the same list of instances agree on the readers.  While
-    lists differ, more processes may read, which only costs more reads.
+    Processes of turn 0 are the readers.  Those of each later turn read if the
+    ones before them are lost.  All processes with the same list of instances
+    agree on the turns.  While lists differ, more processes may read, which only
+    costs more reads.
     """
     zone = identity.availability_zone
     members = [
@@ -42,8 +44,10 @@
         for instance in instances.instances
         if instance.availability_zone == zone and instance.state == 'live'
     ]
-    chosen = _rank_instances(zone.encode(), members, defaults.READER_COUNT)
-    return identity.control in chosen
+    ranked = _rank_instances(zone.encode(), members, len(members))
+    if identity.control not in ranked:
+        return len(ranked) + 1
+    return ranked.index(identity.control) // defaults.READER_COUNT
 
 
 def choose_neighbours(
--- a/packages/keelgap/src/keelgap/dissemination/reducer.py
+++ b/packages/keelgap/src/keelgap/dissemination/reducer.py
@@ -68,6 +68,9 @@
     message: Announce,
 ) -> Effects:
     """Fetch versions that a neighbour announced, and offer it later ones."""
+    # A sender that does not tell relies on the elected readers alone.
+    read_at = event.now - (message.read_age or 0)
+    state.reading_heard_at = max(state.reading_heard_at, read_at)
     effects: list[DisseminationEffect] = []
     for key, held in state.held.items():
         peer_version = message.versions.get(key)
@@ -77,7 +80,7 @@
         if peer_version > held.document.version:
             effects.extend(_fetch(state, key, event.sender, event.now))
     if message.wants_reply:
-        reply = acceptance.make_announce(state, wants_reply=False)
+        reply = acceptance.make_announce(state, event.now, wants_reply=False)
         effects.append(SendMessage(event.sender, reply))
         effects.extend(_offer_deltas(state, event.sender, message))
     return tuple(effects)
@@ -224,18 +227,45 @@
 def _update_reading(state: DisseminationState, now: float) -> Effects:
     """Start or stop reading the configuration service.
 
-    An elected reader reads it, and so does a process that is joining or that
-    has long received no message.
+    An elected reader reads it, and so does a process that is joining, that
+    has long received no message, or that stands in for lost readers.
     """
     last_message_at = state.last_message_at
     reference = state.started_at if last_message_at is None else last_message_at
     is_isolated = now - reference >= defaults.PEER_TIMEOUT_SECONDS
     is_joining = not state.joined
-    wanted = state.is_elected_reader or is_isolated or is_joining
+    counts = _update_stand_in(state, now)
+    is_chosen = state.is_elected_reader or state.stands_in
+    wanted = is_chosen or is_isolated or is_joining
     if wanted == state.reading:
         return ()
     state.reading = wanted
-    return (Read(wanted),)
+    return (*counts, Read(wanted))
+
+
+def _update_stand_in(state: DisseminationState, now: float) -> Effects:
+    """Stand in for the readers if nobody has heard of any for too long.
+
+    The list of instances names lost readers until somebody reads the next one.
+    """
+    if now - state.last_timer_at > defaults.MAX_TIMER_GAP_SECONDS:
+        # This process stood still; announcements wait in its sockets.
+        state.reading_heard_at = now
+    state.last_timer_at = now
+    if state.reading:
+        state.reading_heard_at = now
+    turn = state.reader_turn - 1
+    doublings = max(len(state.instances.instances), 1).bit_length()
+    limit = (
+        defaults.READER_SILENCE_SECONDS
+        + doublings * defaults.READER_SILENCE_DOUBLING_SECONDS
+        + turn * defaults.READER_STAGGER_SECONDS
+    )
+    silence = now - state.reading_heard_at
+    if state.stands_in or state.is_elected_reader or silence < limit:
+        return ()
+    state.stands_in = True
+    return (Count('stood_in_for_readers'),)
 
 
 def _exchange_versions(state: DisseminationState, now: float) -> Effects:
@@ -246,7 +276,9 @@
     state.next_exchange_at = now + defaults.ANTI_ENTROPY_SECONDS * spread
     peer = state.random.choice(state.neighbours)
     return (
-        SendMessage(peer, acceptance.make_announce(state, wants_reply=True)),
+        SendMessage(
+            peer, acceptance.make_announce(state, now, wants_reply=True)
+        ),
     )
 
 
--- a/packages/keelgap/src/keelgap/dissemination/state.py
+++ b/packages/keelgap/src/keelgap/dissemination/state.py
@@ -98,6 +98,15 @@
         self.neighbours: tuple[Address, ...] = identity.seeds
         self.control_addresses: dict[Address, Address] = {}
         self.is_elected_reader = False
+        #: Number of groups of READER_COUNT processes of the own availability
+        #: zone that read before this one if others are lost.
+        self.reader_turn = 0
+        #: Time at which some process was last known to read the service.
+        self.reading_heard_at = now
+        #: Whether this process reads because no reader was heard of.  It does
+        #: until the next list of instances.
+        self.stands_in = False
+        self.last_timer_at = now
         self.reading = False
         #: False while a joining process does not put documents in force yet.
         self.joined = False
--- a/tests/keelgap/test_dissemination.py
+++ b/tests/keelgap/test_dissemination.py
@@ -17,6 +17,8 @@
 )
 
 SEED = 7
+#: A change is in force everywhere within this.
+MAX_PROPAGATION_SECONDS = 18
 
 
 class SpreadTests(TestCase):
@@ -42,6 +44,43 @@
         self.assertEqual(reading, 3 * READER_COUNT)
         self.check_monotone(net)
 
+    def test_change_is_in_force_after_all_readers_are_killed(self) -> None:
+        """Guards against processes that wait for readers that are gone."""
+        for processes, zones in ((6, 1), (30, 3), (120, 3)):
+            net = start_network(SEED, processes, zones)
+            self.kill_readers(net)
+            self.check_change_in_time(net)
+            net.run(5)
+            reading = sum(one.state.reading for one in net.processes.values())
+            self.assertLessEqual(reading, 2 * zones * READER_COUNT)
+
+    def test_those_that_read_instead_are_killed_as_well(self) -> None:
+        """The next ones stand in for them, and no list comes meanwhile."""
+        net = start_network(SEED, 30)
+        self.kill_readers(net)
+        net.run_until(
+            lambda: any(one.state.reading for one in net.processes.values()),
+            60,
+        )
+        self.kill_readers(net)
+        self.check_change_in_time(net)
+
+    def check_change_in_time(self, net: SimulatedNetwork) -> None:
+        """Publish a change, and check that it is in force in time."""
+        net.put(TABLE_KEY, make_table_document(2))
+        spent = net.run_until(lambda: not net.count_outdated(2), 60)
+        self.assertLess(spent, MAX_PROPAGATION_SECONDS)
+
+    def kill_readers(self, net: SimulatedNetwork) -> None:
+        """Kill all processes that read the service."""
+        readers = [
+            control
+            for control, process in net.processes.items()
+            if process.state.reading
+        ]
+        for control in readers:
+            net.kill(control)
+
     def test_loss_is_repaired(self) -> None:
         """Exchanges with neighbours repair what 30 % loss left behind."""
         net = start_network(SEED, 30, loss_rate=0.3)
