--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from random import Random
 from tempfile import mkdtemp
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from tests.soak.faults import (
     FAULTS,
@@ -20,15 +20,23 @@
     heal,
 )
 from tests.soak.fleet_faults import FLEET_FAULTS
+from tests.soak.role_faults import (
+    FLEET_ROLE_FAULTS,
+    ROLE_FAULTS,
+    lose_readers_for_good,
+)
 from tests.soak.route_faults import ROUTE_FAULTS
 from tests.soak.settings import (
     CALM_SECONDS,
     FAULT_SECONDS,
     LARGE_FLEET,
+    SETTLED_SECONDS,
     SMALL_FLEET,
+    Fleet,
+    make_role_fleet,
 )
 from tests.soak.truth import Truth
-from tests.soak.world import World
+from tests.soak.world import BALANCER, World
 
 __all__ = ('run_seed',)
 
@@ -47,6 +55,10 @@
 LARGE_FLEET_SHARE: Final = 10
 #: Seeds from here on have routes that get other services.
 FIRST_ROUTE_SEED: Final = 5000
+#: Seeds from here on have fleets of all sizes that lose programs by their role.
+FIRST_ROLE_SEED: Final = 6000
+#: A paused balancer is out of rotation, and a change due, within this.
+_AFTER_LOSS_SECONDS: Final = 4.0
 #: Out of service at the end; other zones have upstreams of each service.
 _LEFT_ZONE: Final = 'a'
 
@@ -84,39 +96,76 @@
     return round(share, 3)
 
 
-async def _run(seed: int, folder: Path, seconds: float) -> dict[str, Any]:
+class _Plan(NamedTuple):
+    """What the number of a seed stands for."""
+
+    fleet: Fleet
+    faults: tuple[Fault, ...]
+    #: Whether zones leave, too.
+    has_later: bool
+    has_load: bool = False
+    #: Whether the readers are lost for good before the last change.
+    has_roles: bool = False
+
+
+def _make_plan(seed: int) -> _Plan:
+    """Return the fleet and the faults of a seed."""
+    if seed >= FIRST_ROLE_SEED:
+        fleet = make_role_fleet(seed)
+        faults = ROLE_FAULTS if fleet.is_proxied else FLEET_ROLE_FAULTS
+        return _Plan(fleet, faults, has_later=True, has_roles=True)
+    if seed >= FIRST_ROUTE_SEED:
+        is_large = seed % LARGE_FLEET_SHARE == 0
+        fleet = LARGE_FLEET if is_large else SMALL_FLEET
+        return _Plan(fleet, ROUTE_FAULTS, has_later=True)
+    if seed >= FIRST_FLEET_SEED:
+        return _Plan(LARGE_FLEET, FLEET_FAULTS, has_later=True)
+    if seed >= FIRST_LOAD_SEED:
+        return _Plan(SMALL_FLEET, LOAD_FAULTS, has_later=True, has_load=True)
+    has_later = seed >= FIRST_LATER_SEED
+    return _Plan(SMALL_FLEET, LATER_FAULTS if has_later else FAULTS, has_later)
+
+
+async def _change_at_the_end(world: World, random: Random, plan: _Plan) -> None:
+    """Change what must be in force at the end, and wait until it is due."""
+    calm_seconds = CALM_SECONDS
+    await asyncio.sleep(1)
+    if plan.has_roles:
+        await asyncio.sleep(SETTLED_SECONDS)
+        await lose_readers_for_good(world, random)
+        calm_seconds = plan.fleet.config_seconds + _AFTER_LOSS_SECONDS
+    world.toggle_spare_route()
+    world.upstreams[0].drain()
+    if plan.has_later:
+        world.leave_zone(_LEFT_ZONE)
+        world.truth.zone_left = (_LEFT_ZONE, time.monotonic())
+    await asyncio.sleep(calm_seconds - 1)
+
+
+async def _run(
+    seed: int, folder: Path, seconds: float, balancer: Path
+) -> dict[str, Any]:
     random = Random(seed)
-    has_load = seed >= FIRST_LOAD_SEED
-    has_moves = seed >= FIRST_ROUTE_SEED
-    has_fleet = seed >= FIRST_FLEET_SEED and (
-        not has_moves or seed % LARGE_FLEET_SHARE == 0
+    plan = _make_plan(seed)
+    world = World(
+        seed,
+        folder,
+        has_features=plan.has_load,
+        fleet=plan.fleet,
+        balancer=balancer,
     )
-    has_load = has_load and not has_fleet and not has_moves
-    fleet = LARGE_FLEET if has_fleet else SMALL_FLEET
-    world = World(seed, folder, has_features=has_load, fleet=fleet)
     async with AsyncExitStack() as stack:
         await world.start(stack)
         await asyncio.sleep(_START_SECONDS)
-        has_later = seed >= FIRST_LATER_SEED
-        faults = LATER_FAULTS if has_later else FAULTS
-        faults = LOAD_FAULTS if has_load else faults
-        faults = FLEET_FAULTS if has_fleet else faults
-        faults = ROUTE_FAULTS if has_moves else faults
-        names = await _inject(world, random, seconds, faults)
+        names = await _inject(world, random, seconds, plan.faults)
         heal(world)
         world.truth.calm_since = time.monotonic()
-        await asyncio.sleep(1)
-        # These must be in force at the end.
-        world.toggle_spare_route()
-        world.upstreams[0].drain()
-        if has_later:
-            world.leave_zone(_LEFT_ZONE)
-            world.truth.zone_left = (_LEFT_ZONE, time.monotonic())
-        await asyncio.sleep(CALM_SECONDS - 1)
+        await _change_at_the_end(world, random, plan)
         share = _check_end(world.truth)
     truth = world.truth
     return {
         'seed': seed,
+        'balancers': plan.fleet.balancers,
         'faults': names,
         'requests': len(truth.attempts),
         'served': sum(one.served for one in truth.attempts),
@@ -126,10 +175,17 @@
     }
 
 
-def run_seed(seed: int, seconds: float = FAULT_SECONDS) -> dict[str, Any]:
-    """Return what came of one seed; its logs stay if anything broke."""
+def run_seed(
+    seed: int,
+    seconds: float = FAULT_SECONDS,
+    balancer: Path = BALANCER,
+) -> dict[str, Any]:
+    """Return what came of one seed; its logs stay if anything broke.
+
+    ``balancer`` is the file that starts balancers.
+    """
     folder = Path(mkdtemp(prefix=f'keelgap-soak-{seed}-'))
-    report = asyncio.run(_run(seed, folder, seconds))
+    report = asyncio.run(_run(seed, folder, seconds, balancer))
     if report['broken']:
         report['logs'] = str(folder)
     else:
--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -12,7 +12,6 @@
     'CALM_SECONDS',
     'CALLERS',
     'CONFIG_SECONDS',
-    'DRAIN_SECONDS',
     'FAULT_SECONDS',
     'FEATURES_INI',
     'LARGE_FLEET',
@@ -20,6 +19,7 @@
     'Fleet',
     'ProgramPlace',
     'SETTLED_SECONDS',
+    'make_role_fleet',
     'STORE',
     'find_free_ports',
     'make_places',
@@ -33,9 +33,11 @@
 SETTLED_SECONDS: Final = 4.0
 
 #: A change of the table is in force, and an upstream that leaves gets no new
-#: flow, after these; the bounds of both users.
+#: flow, after this; the bound of both users.
 CONFIG_SECONDS: Final = 3.0
-DRAIN_SECONDS: Final = 3.0
+#: The same for the fleets of users with more than MAX_SMALL_SITE balancers.
+LARGE_CONFIG_SECONDS: Final = 5.0
+MAX_SMALL_SITE: Final = 12
 
 #: Runs side by side use different parts of loopback.
 _NET: Final = f'127.{20 + os.getpid() % 200}'
@@ -101,6 +103,8 @@
     starts_agents_first: bool = False
     #: For so long an upstream says that it is still slow.
     warm_up_seconds: float = 0
+    #: Within this a change must be in force, and a drain.
+    config_seconds: float = CONFIG_SECONDS
 
 
 SMALL_FLEET: Final = Fleet(
@@ -138,6 +142,21 @@
 )
 
 
+#: On both sides of each size at which balancers change their ways.
+_ROLE_SIZES: Final = (5, 8, 9, 10, 12, 24, 25, 26, 29, 33, 40)
+
+
+def make_role_fleet(seed: int) -> Fleet:
+    """Return a fleet of few upstreams and of a size that the seed chooses."""
+    size = _ROLE_SIZES[seed % len(_ROLE_SIZES)]
+    is_small = size <= MAX_SMALL_SITE
+    return SMALL_FLEET._replace(
+        balancers=size,
+        is_proxied=is_small,
+        config_seconds=CONFIG_SECONDS if is_small else LARGE_CONFIG_SECONDS,
+    )
+
+
 class ProgramPlace(NamedTuple):
     """Where one program runs.
 
--- a/tests/soak/truth.py
+++ b/tests/soak/truth.py
@@ -6,7 +6,6 @@
 from keelgap.catalog.models import PacketRoute, TrafficShare
 from tests.soak.settings import (
     CONFIG_SECONDS,
-    DRAIN_SECONDS,
     SETTLED_SECONDS,
 )
 
@@ -45,8 +44,12 @@
 class Truth:
     """The books of all stand-ins; everything runs in one thread."""
 
-    def __init__(self) -> None:
-        """Start without any event."""
+    def __init__(self, config_seconds: float = CONFIG_SECONDS) -> None:
+        """Start without any event.
+
+        Changes and drains must be in force within ``config_seconds``.
+        """
+        self.config_seconds = config_seconds
         #: Packets as callers and as upstreams wrote them.
         self.from_callers: set[bytes] = set()
         self.from_upstreams: set[bytes] = set()
@@ -104,17 +107,17 @@
             # The table has long been as it was at first.
             self.report('flow at a former service', upstream=upstream)
         dropped = self.dropped.get(route.name, float('inf'))
-        if settled and now - dropped > CONFIG_SECONDS:
+        if settled and now - dropped > self.config_seconds:
             self.report('flow of a dropped route', since=now - dropped)
         left = self.draining.get(upstream, float('inf'))
-        if settled and now - left > DRAIN_SECONDS:
+        if settled and now - left > self.config_seconds:
             self.report('new flow at one that leaves', since=now - left)
 
     def check_zone(self, zone: str) -> None:
         """Check a new flow at an upstream of an availability zone."""
         left, since = self.zone_left
         waited = time.monotonic() - since
-        if zone == left and self.is_settled and waited > DRAIN_SECONDS:
+        if zone == left and self.is_settled and waited > self.config_seconds:
             self.report('new flow in a zone that was left', since=waited)
 
     def check_at_caller(self, packet: bytes) -> None:
@@ -136,7 +139,7 @@
         added = self.added.get(route, 0)
         now = time.monotonic()
         # Of a service with several upstreams, and without load.
-        if self.is_settled and now - added > CONFIG_SECONDS:
+        if self.is_settled and now - added > self.config_seconds:
             self.report('new flow refused', route=route)
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -37,9 +37,11 @@
 from tests.soak.truth import ROUTES, Truth
 from tests.soak.upstreams import Ports, Upstream
 
-__all__ = ('Program', 'World')
+__all__ = ('BALANCER', 'Program', 'World')
 
 _DEPLOY: Final = Path(__file__).parents[2] / 'deploy'
+_AGENT: Final = _DEPLOY / 'agent.py'
+BALANCER: Final = _DEPLOY / 'balancer.py'
 #: The platform kills a program that does not end by itself.
 _GRACE_SECONDS: Final = 6.0
 #: Until the agents run that start before their upstreams.
@@ -49,8 +51,11 @@
 class Program:
     """One program; it is ended by its process id, and only by us."""
 
-    def __init__(self, place: ProgramPlace, path: Path, log: Path) -> None:
+    def __init__(
+        self, place: ProgramPlace, path: Path, log: Path, launcher: Path
+    ) -> None:
         """Start nothing yet."""
+        self.launcher = launcher
         self.place = place
         self.path = path
         self.log = log
@@ -59,11 +64,10 @@
 
     def start(self) -> None:
         """Start it with its settings file."""
-        launcher = 'agent.py' if self.place.service else 'balancer.py'
         self.asked_to_stop = None
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(  # noqa: S603
-                [sys.executable, str(_DEPLOY / launcher), str(self.path)],
+                [sys.executable, str(self.launcher), str(self.path)],
                 stdout=log,
                 stderr=log,
             )
@@ -114,15 +118,20 @@
         *,
         has_features: bool = False,
         fleet: Fleet = SMALL_FLEET,
+        balancer: Path = BALANCER,
     ) -> None:
-        """Write settings into the folder; nothing runs yet."""
+        """Write settings into the folder; nothing runs yet.
+
+        ``balancer`` is the file that starts balancers.
+        """
+        self.balancer = balancer
         self.fleet = fleet
         self.has_features = has_features
         #: What settings say of the fleet; no harm, since agents may be older.
         self.is_first_start = False
         self.random = Random(seed)
         self.folder = folder
-        self.truth = Truth()
+        self.truth = Truth(fleet.config_seconds)
         self.places = make_places(fleet)
         self.balancers = [one for one in self.places if not one.service]
         self.agents = [one for one in self.places if one.service]
@@ -281,7 +290,9 @@
     def _make_program(self, place: ProgramPlace) -> Program:
         path = self.folder / f'{place.name}.ini'
         self._write_settings(place, path)
-        return Program(place, path, self.folder / f'{place.name}.log')
+        log = self.folder / f'{place.name}.log'
+        launcher = _AGENT if place.service else self.balancer
+        return Program(place, path, log, launcher)
 
     def _write_settings(self, place: ProgramPlace, path: Path) -> None:
         template = AGENT_INI if place.service else BALANCER_INI
