--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
@@ -187,10 +187,18 @@
     def _record_claims(
         self, host: str, gossip: GossipMessage, now: float
     ) -> None:
-        """Record which balancers read the store, according to a message."""
+        """Record which balancers read the store, according to a message.
+
+        A reader whose catalog could not be fetched is as good as lost.
+        """
+        unreachable = self.catalog.state.peer_fetches.list_failed(now)
         for claim in gossip.claims:
-            self.readers.record_claim(claim, now)
-        self.readers.record_message(host, now, is_reader=gossip.is_reader)
+            if claim.host not in unreachable:
+                self.readers.record_claim(claim, now)
+        if host in unreachable and gossip.is_reader:
+            self.readers.record_loss(host, now)
+        else:
+            self.readers.record_message(host, now, is_reader=gossip.is_reader)
 
     def _log_changes(self, lost: tuple[str, ...]) -> None:
         """Log the balancers found since the last log line, and those lost."""
--- a/packages/keelgap/src/keelgap/catalog/peer_fetches.py
+++ b/packages/keelgap/src/keelgap/catalog/peer_fetches.py
@@ -80,10 +80,17 @@
         self.pending[peer] = now
         return peer
 
+    def list_failed(self, now: float) -> list[str]:
+        """Return the hosts from which a fetch failed lately."""
+        self._forget_failures(now)
+        return [peer.host for peer in self.failed_at]
+
     def _get_failure_time(self, peer: Address) -> float:
         return self.failed_at.get(peer, _NEVER)
 
     def _forget_failures(self, now: float) -> None:
+        if not self.failed_at:
+            return
         limit = now - defaults.PEER_FAILURE_SECONDS
         self.failed_at = {
             peer: at for peer, at in self.failed_at.items() if at >= limit
--- a/tests/packets/test_readers_oracle.py
+++ b/tests/packets/test_readers_oracle.py
@@ -50,6 +50,19 @@
         """No session leaves a balancer that is in touch behind."""
         run_machine(ReaderMachine, EXAMPLES, STEPS)
 
+    def test_claims_of_unreachable_readers_are_not_relayed(self) -> None:
+        """Guards against claims that outlive every failure to fetch.
+
+        The readers are killed, those after them are heard and hear nobody, and
+        the next ones do not reach the store but relay their claims.
+        """
+        machine = ReaderMachine()
+        machine.start(12, 168)
+        machine.lose_and_change('readers', 'kill')
+        machine.lose_and_change('readers', 'deafen')
+        machine.lose_and_change('next', 'store')
+        machine.teardown()
+
     def test_every_deliberate_fault_is_found(self) -> None:
         """A fuzzer that cannot fail proves nothing."""
         for name, (owner, attribute, stand_in) in DELIBERATE_FAULTS.items():
