--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/peers.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/peers.py
@@ -209,9 +209,9 @@
     ) -> list[str]:
         """Return the hosts to send to next: all, or a few in turn if many.
 
-        ``wanted`` are included each time if they are alive, as are balancers
-        that have not replied to a probe and those under suspicion.  The first
-        host of a round is that whose turn it is.
+        ``wanted`` are included each time if they are alive, before others, as
+        are balancers that have not replied to a probe and those under
+        suspicion.  The first host of a round is that whose turn it is.
         """
         hosts = list(
             dict.fromkeys((*self.last_heard, *self.unconfirmed, *self.seeds))
@@ -220,23 +220,18 @@
         self.unconfirmed = set()
         if len(hosts) <= defaults.MAX_GOSSIP_PEERS:
             return hosts
-        chosen = self._choose_next(
+        first, *others = self._choose_next(
             hosts, _compute_fanout(is_reader=is_reader, is_round=is_round)
         )
-        if is_reader:
-            # It may have started just now, so that few know it.
-            chosen += unconfirmed
-        chosen += [host for host in wanted if host in self.last_heard]
+        alive = [host for host in wanted if host in self.last_heard]
+        # A reader may have started just now, so that few know it.
+        introduced = unconfirmed if is_reader else ()
+        receivers = dict.fromkeys((first, *alive, *others, *introduced))
         probed_hosts = (*self.awaiting_reply, *self.suspected)[
             : defaults.GOSSIP_FANOUT
         ]
-        receivers = list(dict.fromkeys(chosen))
-        return list(
-            dict.fromkeys((
-                *receivers[: defaults.READER_GOSSIP_FANOUT],
-                *probed_hosts,
-            ))
-        )
+        chosen = islice(receivers, defaults.READER_GOSSIP_FANOUT)
+        return list(dict.fromkeys((*chosen, *probed_hosts)))
 
     def list_recent_peers(self) -> tuple[str, ...]:
         """Return the balancers to mention to peers, latest message first."""
--- a/tests/packets/test_peers.py
+++ b/tests/packets/test_peers.py
@@ -52,6 +52,17 @@
                 told.update(receivers)
             self.assertEqual(len(told), 101)
 
+    def test_wanted_receivers_of_a_change_come_first(self) -> None:
+        """Those that take over from readers hear of a change at once."""
+        peers = PeerTable('me', ())
+        for number in range(100):
+            peers.record_message(f'host-{number}', 0, (), number)
+        wanted = [f'host-{number}' for number in range(0, 90, 10)]
+        for _ in range(60):
+            receivers = peers.select_receivers(wanted, is_reader=True)
+            self.assertLessEqual(set(wanted), set(receivers))
+            self.assertEqual(len(receivers), defaults.READER_GOSSIP_FANOUT)
+
     def test_named_balancers_are_told_once_and_silent_ones_forgotten(
         self,
     ) -> None:
