--- a/tests/keelgap/test_readers.py
+++ b/tests/keelgap/test_readers.py
@@ -1,10 +1,16 @@
 """Which processes read the store, with losses, deaths and cuts."""
 
+from itertools import pairwise
 from random import Random
 from unittest import TestCase
 
 from keelgap.catalog import defaults
-from keelgap.catalog.readers import ReaderClaim, ReaderElection
+from keelgap.catalog.readers import (
+    ReaderClaim,
+    ReaderElection,
+    compute_rank,
+    compute_relayed_ttl,
+)
 
 #: Pause between messages, as balancers make it.
 ROUND = 0.5
@@ -136,3 +142,88 @@
         readers.record_claim(ReaderClaim('me', 0), 10)
         self.assertEqual(readers.list_fresh(10.2), ['a'])
         self.assertEqual(readers.list_fresh(12), [])
+
+
+class CandidateTests(TestCase):
+    """The first in rank take over, the others only as a last resort."""
+
+    def setUp(self) -> None:
+        """Rank the hosts of a fleet of thirty."""
+        hosts = [f'10.0.0.{number}' for number in range(30)]
+        self.ranked = sorted(hosts, key=compute_rank)
+
+    def make_follower(self, place: int) -> ReaderElection:
+        """Return a process that follows the first three in rank."""
+        readers = ReaderElection(self.ranked[place])
+        others = [one for one in self.ranked if one != readers.own_host]
+        readers.change_fleet(others)
+        for host in self.ranked[:3]:
+            readers.record_message(host, 0, is_reader=True)
+        readers.decide(0)
+        readers.decide(0.7)
+        return readers
+
+    def let_pass(self, readers: ReaderElection, end: float) -> float | None:
+        """Return when the process begins to read, if it does by the end."""
+        now = 0.7
+        while now < end and not readers.is_reader:
+            now += defaults.READER_CHECK_SECONDS
+            readers.decide(now)
+        return now if readers.is_reader else None
+
+    def test_candidate_takes_over_when_claims_expire(self) -> None:
+        """Nobody ahead of it is heard of."""
+        began = self.let_pass(self.make_follower(5), 10)
+        assert began is not None
+        self.assertLess(began, defaults.CLAIM_TTL_SECONDS + 0.2)
+
+    def test_candidate_waits_for_those_ahead_that_it_hears(self) -> None:
+        """Three that rank before it begin first."""
+        readers = self.make_follower(7)
+        for host in self.ranked[3:7]:
+            readers.record_message(host, 1.5, is_reader=False)
+        began = self.let_pass(readers, 10)
+        assert began is not None
+        self.assertGreater(
+            began,
+            defaults.CLAIM_TTL_SECONDS + defaults.READER_STAGGER_SECONDS - 0.1,
+        )
+
+    def test_others_begin_only_without_any_claim(self) -> None:
+        """One that is fresh is enough, also if it was relayed."""
+        readers = self.make_follower(12)
+        readers.record_claim(ReaderClaim(self.ranked[0], 0), 2)
+        self.assertIsNone(self.let_pass(readers, 2 + readers.relayed_ttl - 0.1))
+        self.assertIsNotNone(self.let_pass(readers, 10))
+
+    def test_lost_reader_claims_no_longer(self) -> None:
+        """Nor do its earlier claims that others still relay."""
+        readers = self.make_follower(12)
+        for host in self.ranked[:3]:
+            readers.record_loss(host, 1)
+            readers.record_claim(ReaderClaim(host, 0.9), 1.2)
+        self.assertEqual(readers.list_fresh(1.2), [])
+        readers.record_claim(ReaderClaim(self.ranked[0], 0), 1.3)
+        self.assertEqual(readers.list_fresh(1.3), [self.ranked[0]])
+
+    def test_process_that_stood_still_listens_first(self) -> None:
+        """Claims wait in its socket."""
+        readers = self.make_follower(3)
+        self.assertFalse(readers.decide(60))
+        readers.record_message(self.ranked[0], 60.1, is_reader=True)
+        self.assertFalse(readers.decide(60.2))
+
+    def test_time_of_the_last_resort_has_no_step(self) -> None:
+        """It grows by less than a round from one size to the next."""
+        limits = [compute_relayed_ttl(size) for size in range(1, 3000)]
+        steps = [after - before for before, after in pairwise(limits)]
+        self.assertGreaterEqual(min(steps), 0)
+        self.assertLess(max(steps), defaults.RELAY_ROUND_SECONDS / 5)
+        self.assertLess(limits[-1], 6)
+
+    def test_only_readers_and_candidates_tell_candidates(self) -> None:
+        """All others send in turn."""
+        self.assertEqual(self.make_follower(12).list_receivers(1), ())
+        receivers = self.make_follower(5).list_receivers(1)
+        expected = {*self.ranked[: defaults.CANDIDATE_COUNT]}
+        self.assertEqual(set(receivers), expected - {self.ranked[5]})
