--- a/tests/keelgap/test_readers.py
+++ b/tests/keelgap/test_readers.py
@@ -225,5 +225,5 @@
         """All others send in turn."""
         self.assertEqual(self.make_follower(12).list_receivers(1), ())
         receivers = self.make_follower(5).list_receivers(1)
-        expected = {*self.ranked[: defaults.CANDIDATE_COUNT]}
+        expected = set(self.ranked[: defaults.CANDIDATE_COUNT])
         self.assertEqual(set(receivers), expected - {self.ranked[5]})
