--- a/Makefile
+++ b/Makefile
@@ -63,4 +63,4 @@
 		tests.keelgap.test_oracle tests.packets.test_oracle \
 		tests.packets.test_ejection_oracle tests.packets.test_lapse_oracle \
 		tests.packets.test_given_back tests.packets.test_starts_oracle \
-		tests.packets.test_directory_oracle
+		tests.packets.test_directory_oracle tests.packets.test_readers_oracle
