--- a/tests/run.py
+++ b/tests/run.py
@@ -13,8 +13,9 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-#: Seconds after which a hanging run prints its stacks and ends.
-_LONGEST: Final = 900
+#: Seconds after which a run whose present test hangs prints its stacks and
+#: ends.
+_LONGEST_TEST: Final = 600
 
 
 class KnownRed(NamedTuple):
@@ -64,16 +65,26 @@
     return {case.id().split(' ')[0] for case, _ in failed}
 
 
+class _GuardedResult(unittest.TextTestResult):
+    """Ends the run if a test takes too long."""
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Give each test its own time."""
+        faulthandler.dump_traceback_later(_LONGEST_TEST, exit=True)
+        super().startTest(test)
+
+
 def main() -> int:
     """Return the exit status."""
-    faulthandler.dump_traceback_later(_LONGEST, exit=True)
+    faulthandler.dump_traceback_later(_LONGEST_TEST, exit=True)
     root = Path(__file__).parent
     known = read_known_red(root.parent / 'KNOWN-RED.txt')
     suite = unittest.defaultTestLoader.discover(
         str(root),
         top_level_dir=str(root.parent),
     )
-    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
+    runner = unittest.TextTestRunner(verbosity=1, resultclass=_GuardedResult)
+    outcome = runner.run(suite)
     failed = list_failed(outcome)
     for red in sorted(known):
         print(describe_outcome(red, failed))  # noqa: WPS421
