--- a/experiments/reader_fleet.py
+++ b/experiments/reader_fleet.py
@@ -13,6 +13,7 @@
 
 from experiments.outage.clock import VirtualClock
 from keelgap.addresses import Address
+from keelgap.catalog import defaults as catalog_defaults
 from keelgap.catalog.builder import Decoders
 from keelgap.catalog.driver import CatalogDriver
 from keelgap.catalog.events import (
@@ -398,6 +399,34 @@
             if balancer.reads and self.reaches_store(host)
         ]
 
+    def list_ranked(self) -> list[str]:
+        """Return the running balancers, highest rank first."""
+        return sorted(filter(self.is_running, self.balancers), key=compute_rank)
+
+    def list_candidates(self) -> list[str]:
+        """Return the running balancers of highest rank."""
+        return self.list_ranked()[: catalog_defaults.CANDIDATE_COUNT]
+
+    def list_followers(self) -> list[str]:
+        """Return those that do not read the store, next in rank first."""
+        readers = self.list_readers()
+        return [host for host in self.list_ranked() if host not in readers]
+
+    def cut_off(
+        self,
+        hosts: Iterable[str],
+        *,
+        is_heard: bool = False,
+        hears: bool = False,
+    ) -> None:
+        """Cut balancers off from all others, both ways or one way."""
+        chosen = set(hosts)
+        for other in set(self.hosts) - chosen:
+            if not is_heard:
+                self.blocked.update((host, other) for host in chosen)
+            if not hears:
+                self.blocked.update((other, host) for host in chosen)
+
     def reaches_store(self, host: str) -> bool:
         """Return whether a balancer runs and gets answers of the store."""
         return self.is_running(host) and host not in self.cut_from_store
--- a/experiments/readers_model.py
+++ b/experiments/readers_model.py
@@ -20,7 +20,6 @@
 
 from experiments.reader_fleet import ReaderFleet
 from keelgap.catalog import defaults
-from keelgap.catalog.readers import compute_rank
 
 __all__ = ('measure',)
 
@@ -56,8 +55,7 @@
         for host, balancer in fleet.balancers.items()
     }
     readers = set(fleet.list_readers())
-    ranked = sorted(fleet.balancers, key=compute_rank)
-    candidates = set(ranked[: defaults.CANDIDATE_COUNT]) - readers
+    candidates = set(fleet.list_candidates()) - readers
     fleet.loss = LOSS
     fleet.changes.clear()
     fleet.run(QUIET_SECONDS)
@@ -137,8 +135,7 @@
 
 
 def _kill_candidates(fleet: ReaderFleet) -> None:
-    ranked = sorted(fleet.balancers, key=compute_rank)
-    fleet.kill(ranked[: defaults.CANDIDATE_COUNT])
+    fleet.kill(fleet.list_candidates())
 
 
 def measure(
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/gossip_driver.py
@@ -158,19 +158,19 @@
         """
         now = self.process.loop.clock()
         was_reader = self.readers.is_reader
-        shortage_since = self.readers.shortage_since
         is_reader = self.readers.decide(now)
         self.catalog.set_reader_role(is_reader, len(self.peers.last_heard) + 1)
-        if is_reader != was_reader:
-            self._log_role(now, shortage_since)
-        if is_reader and not was_reader:
+        if is_reader == was_reader:
+            return
+        self._log_role(now)
+        if is_reader:
             # Others that wait for their turn need not start.
             self.send_gossip()
 
-    def _log_role(self, now: float, shortage_since: float | None) -> None:
+    def _log_role(self, now: float) -> None:
         """Log that this balancer began or ceased to read the store."""
         readers = self.readers
-        since = now if shortage_since is None else shortage_since
+        since = readers.shortage_since
         known = list(readers.claim_times.items())
         self.process.lines.log(
             'reading_store' if readers.is_reader else 'following_readers',
@@ -179,7 +179,7 @@
                 host: round(now - claimed_at, 3)
                 for host, claimed_at in known[:MAX_LISTED]
             },
-            waited=round(now - since, 3),
+            waited=0 if since is None else round(now - since, 3),
             higher_ranked=readers.higher_ranked,
             revision=self.catalog.state.revision,
         )
--- a/packages/keelgap-balancer/src/keelgap_balancer/packets/peers.py
+++ b/packages/keelgap-balancer/src/keelgap_balancer/packets/peers.py
@@ -117,8 +117,7 @@
         known to be alive before.
         """
         is_new = host not in self.last_heard
-        self.last_heard[host] = now
-        self._move_to_front(host)
+        self._record_heard(host, now)
         self.awaiting_reply.pop(host, None)
         was_suspected = self.suspected.pop(host, None) is not None
         known = self.incarnations.get(host, _UNKNOWN)
@@ -265,8 +264,7 @@
         if change.status == PeerStatus.ALIVE:
             if change.incarnation <= known:
                 return False
-            self.last_heard[host] = now
-            self._move_to_front(host)
+            self._record_heard(host, now)
             self.suspected.pop(host, None)
             self._record_change(change)
             return not is_known
@@ -325,8 +323,9 @@
             ]
         return lost
 
-    def _move_to_front(self, host: str) -> None:
-        """Record that a balancer was the latest to be heard of."""
+    def _record_heard(self, host: str, now: float) -> None:
+        """Record that a balancer is alive, and the latest to be heard of."""
+        self.last_heard[host] = now
         self.recent.pop(host, None)
         self.recent[host] = None
 
--- a/packages/keelgap/src/keelgap/catalog/peer_fetches.py
+++ b/packages/keelgap/src/keelgap/catalog/peer_fetches.py
@@ -22,8 +22,8 @@
         """Initialize without any peer."""
         #: Revisions of peers that are ahead, the latest announcement last.
         self.revisions: dict[Address, int] = {}
-        #: Times at which fetches started whose responses are awaited.
-        self.pending: dict[Address, float] = {}
+        #: Peers whose responses are awaited.
+        self.pending: set[Address] = set()
         #: Times at which fetches from a peer failed.
         self.failed_at: dict[Address, float] = {}
         #: Time of the latest fetch.
@@ -44,7 +44,7 @@
 
     def record_end(self, peer: Address, now: float, *, failed: bool) -> None:
         """Record that a fetch ended."""
-        self.pending.pop(peer, None)
+        self.pending.discard(peer)
         if failed:
             self.failed_at[peer] = now
         else:
@@ -77,7 +77,7 @@
         idle.reverse()
         peer = min(idle, key=self._get_failure_time)
         self.started_at = now
-        self.pending[peer] = now
+        self.pending.add(peer)
         return peer
 
     def list_failed(self, now: float) -> list[str]:
--- a/packages/keelgap/src/keelgap/catalog/readers.py
+++ b/packages/keelgap/src/keelgap/catalog/readers.py
@@ -24,7 +24,12 @@
 
 from keelgap.catalog import defaults
 
-__all__ = ('ReaderClaim', 'ReaderElection', 'compute_rank')
+__all__ = (
+    'ReaderClaim',
+    'ReaderElection',
+    'compute_rank',
+    'compute_relayed_ttl',
+)
 
 _NEVER: Final = float('-inf')
 _MAX_CACHED_RANKS: Final = 8192
--- a/packages/keelgap/src/keelgap/dissemination/acceptance.py
+++ b/packages/keelgap/src/keelgap/dissemination/acceptance.py
@@ -164,7 +164,6 @@
     neighbours = choose_neighbours(state.identity, instances)
     state.neighbours = neighbours or state.identity.seeds
     state.reader_turn = compute_reader_turn(state.identity, instances)
-    state.is_elected_reader = not state.reader_turn
     state.stands_in = False
     # New readers have not been heard of yet.
     state.reading_heard_at = now
--- a/packages/keelgap/src/keelgap/dissemination/reducer.py
+++ b/packages/keelgap/src/keelgap/dissemination/reducer.py
@@ -254,7 +254,7 @@
     state.last_timer_at = now
     if state.reading:
         state.reading_heard_at = now
-    turn = state.reader_turn - 1
+    turn = (state.reader_turn or 0) - 1
     doublings = max(len(state.instances.instances), 1).bit_length()
     limit = (
         defaults.READER_SILENCE_SECONDS
--- a/packages/keelgap/src/keelgap/dissemination/state.py
+++ b/packages/keelgap/src/keelgap/dissemination/state.py
@@ -97,10 +97,9 @@
         self.instances: InstanceList = NO_INSTANCES
         self.neighbours: tuple[Address, ...] = identity.seeds
         self.control_addresses: dict[Address, Address] = {}
-        self.is_elected_reader = False
         #: Number of groups of READER_COUNT processes of the own availability
-        #: zone that read before this one if others are lost.
-        self.reader_turn = 0
+        #: zone that read before this one; None without a list of instances.
+        self.reader_turn: int | None = None
         #: Time at which some process was last known to read the service.
         self.reading_heard_at = now
         #: Whether this process reads because no reader was heard of.  It does
@@ -112,3 +111,8 @@
         self.joined = False
         self.last_message_at: float | None = None
         self.next_exchange_at = now
+
+    @property
+    def is_elected_reader(self) -> bool:
+        """Return whether the list of instances makes this process read."""
+        return self.reader_turn == 0
--- a/tests/keelgap/test_dissemination.py
+++ b/tests/keelgap/test_dissemination.py
@@ -21,6 +21,17 @@
 MAX_PROPAGATION_SECONDS = 18
 
 
+def kill_readers(net: SimulatedNetwork) -> None:
+    """Kill all processes that read the service."""
+    readers = [
+        control
+        for control, process in net.processes.items()
+        if process.state.reading
+    ]
+    for control in readers:
+        net.kill(control)
+
+
 class SpreadTests(TestCase):
     """Changes reach every process."""
 
@@ -48,7 +59,7 @@
         """Guards against processes that wait for readers that are gone."""
         for processes, zones in ((6, 1), (30, 3), (120, 3)):
             net = start_network(SEED, processes, zones)
-            self.kill_readers(net)
+            kill_readers(net)
             self.check_change_in_time(net)
             net.run(5)
             reading = sum(one.state.reading for one in net.processes.values())
@@ -57,12 +68,12 @@
     def test_those_that_read_instead_are_killed_as_well(self) -> None:
         """The next ones stand in for them, and no list comes meanwhile."""
         net = start_network(SEED, 30)
-        self.kill_readers(net)
+        kill_readers(net)
         net.run_until(
             lambda: any(one.state.reading for one in net.processes.values()),
             60,
         )
-        self.kill_readers(net)
+        kill_readers(net)
         self.check_change_in_time(net)
 
     def check_change_in_time(self, net: SimulatedNetwork) -> None:
@@ -71,16 +82,6 @@
         spent = net.run_until(lambda: not net.count_outdated(2), 60)
         self.assertLess(spent, MAX_PROPAGATION_SECONDS)
 
-    def kill_readers(self, net: SimulatedNetwork) -> None:
-        """Kill all processes that read the service."""
-        readers = [
-            control
-            for control, process in net.processes.items()
-            if process.state.reading
-        ]
-        for control in readers:
-            net.kill(control)
-
     def test_loss_is_repaired(self) -> None:
         """Exchanges with neighbours repair what 30 % loss left behind."""
         net = start_network(SEED, 30, loss_rate=0.3)
@@ -235,13 +236,7 @@
     def test_dead_readers_are_replaced_by_list_or_by_silence(self) -> None:
         """With its readers dead a fleet still learns of changes."""
         net = start_network(SEED, 9)
-        readers = [
-            control
-            for control, one in net.processes.items()
-            if one.state.reading
-        ]
-        for control in readers:
-            net.kill(control)
+        kill_readers(net)
         net.put(INSTANCES_KEY, make_instances(net, 2))
         net.put(TABLE_KEY, make_table_document(2))
         spent = net.run_until(lambda: not net.count_outdated(2), 60)
--- a/tests/packets/reader_machine.py
+++ b/tests/packets/reader_machine.py
@@ -15,7 +15,6 @@
 
 from experiments.reader_fleet import ReaderFleet
 from keelgap.catalog import defaults
-from keelgap.catalog.readers import compute_rank
 
 __all__ = ('ReaderMachine',)
 
@@ -69,7 +68,7 @@
     def lose(self, role: str, count: int, how: str) -> None:
         """Lose balancers of a role; at least one goes on undisturbed."""
         chosen = self._list_role(role)[:count]
-        calm = [one for one in self._list_running() if one not in chosen]
+        calm = [one for one in self.fleet.list_ranked() if one not in chosen]
         if not chosen or not any(map(self._is_calm, calm)):
             return
         self.losses.append(self.fleet.clock.now)
@@ -146,18 +145,13 @@
             return
         behind = [
             host
-            for host in self._list_running()
+            for host in self.fleet.list_ranked()
             if self._is_calm(host)
             and self.fleet.balancers[host].catalog.state.revision
             < change.revision
         ]
         assert not behind, f'{len(behind)} balancers are behind'  # noqa: S101
 
-    def _list_running(self) -> list[str]:
-        return [
-            host for host in self.fleet.balancers if self.fleet.is_running(host)
-        ]
-
     def _is_calm(self, host: str) -> bool:
         """Return whether nothing has disturbed a balancer for a while."""
         disturbed = self.disturbed.get(host, _NEVER)
@@ -165,22 +159,17 @@
 
     def _list_role(self, role: str) -> list[str]:
         """Return the balancers of a role, highest rank first."""
-        running = sorted(self._list_running(), key=compute_rank)
-        readers = self.fleet.list_readers()
-        followers = [host for host in running if host not in readers]
+        followers = self.fleet.list_followers()
         return {
-            'readers': readers,
+            'readers': self.fleet.list_readers(),
             'next': followers,
-            'candidates': running[: defaults.CANDIDATE_COUNT],
+            'candidates': self.fleet.list_candidates(),
             'others': list(reversed(followers)),
         }[role]
 
     def _disturb(self, hosts: Iterable[str], how: str) -> None:
         """Disturb balancers in one way."""
         fleet = self.fleet
-        others = set(fleet.hosts).difference(hosts)
-        out = {(host, other) for host in hosts for other in others}
-        back = {(other, host) for host, other in out}
         if how == 'kill':
             fleet.kill(hosts)
         elif how == 'pause':
@@ -190,8 +179,4 @@
         elif how == 'lossy':
             fleet.host_loss.update(dict.fromkeys(hosts, _LOSSY))
         else:
-            fleet.blocked |= {
-                'cut': out | back,
-                'mute': out,
-                'deafen': back,
-            }[how]
+            fleet.cut_off(hosts, is_heard=how == 'deafen', hears=how == 'mute')
--- a/tests/packets/test_lost_readers.py
+++ b/tests/packets/test_lost_readers.py
@@ -9,7 +9,6 @@
 
 from experiments.reader_fleet import ReaderFleet
 from keelgap.catalog import defaults
-from keelgap.catalog.readers import compute_rank
 
 #: Size up to which a bound in seconds holds.
 BOUNDS = ((12, 3.0), (59, 5.0), (400, 6.0), (2600, 18.0))
@@ -37,13 +36,6 @@
     fleet.time_until(lambda: bool(fleet.list_readers()), 5, 0.01)
 
 
-def list_next(fleet: ReaderFleet, count: int) -> list[str]:
-    """Return the balancers that take over next."""
-    readers = fleet.list_readers()
-    others = [host for host in fleet.balancers if host not in readers]
-    return sorted(others, key=compute_rank)[:count]
-
-
 class LostReaderTests(TestCase):
     """All that are left know of the change within the bound."""
 
@@ -76,7 +68,7 @@
                     fleet = start_fleet(size, size)
                     lost = [
                         *fleet.list_readers(),
-                        *list_next(fleet, lost_next),
+                        *fleet.list_followers()[:lost_next],
                     ]
                     fleet.kill(lost)
                     self._check_change(fleet, fleet.balancers, size)
@@ -85,8 +77,7 @@
         """Those that only hear of readers by relayed claims begin to read."""
         for size in (12, 25, 26, 29, 40, 68):
             fleet = start_fleet(size, size)
-            ranked = sorted(fleet.balancers, key=compute_rank)
-            fleet.kill(ranked[: defaults.CANDIDATE_COUNT])
+            fleet.kill(fleet.list_candidates())
             # Three balancers that are left have no small fleet's bound.
             self._check_change(fleet, fleet.balancers, max(size, 13))
 
@@ -118,7 +109,7 @@
                     fleet = start_fleet(size, size)
                     readers = fleet.list_readers()
                     others = set(fleet.balancers) - set(readers)
-                    cut_off(fleet, readers, others, hears=hears)
+                    fleet.cut_off(readers, hears=hears)
                     self._check_change(fleet, others, max(size, 13))
                     fleet.blocked.clear()
                     fleet.run(8)
@@ -130,8 +121,7 @@
             fleet = start_fleet(size, size)
             readers = fleet.list_readers()
             others = set(fleet.balancers) - set(readers)
-            for host in readers:
-                fleet.blocked.update((other, host) for other in others)
+            fleet.cut_off(readers, is_heard=True)
             # Failure detection forgets the others at the readers meanwhile.
             for _ in range(3):
                 self._check_change(fleet, others, size)
@@ -237,18 +227,3 @@
             fleet.run(0.1)
             counts.append(len(fleet.list_readers()))
         return counts
-
-
-def cut_off(
-    fleet: ReaderFleet,
-    hosts: Iterable[str],
-    others: Iterable[str],
-    *,
-    hears: bool,
-) -> None:
-    """Cut hosts off so that others do not hear them."""
-    for host in hosts:
-        for other in others:
-            fleet.blocked.add((host, other))
-            if not hears:
-                fleet.blocked.add((other, host))
--- a/tests/soak/faulty_balancer.py
+++ b/tests/soak/faulty_balancer.py
@@ -3,16 +3,13 @@
 The soak must find this deliberate fault.
 """
 
-import signal
-import sys
+import runpy
+from pathlib import Path
 
-signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
-from keelgap.catalog import defaults  # noqa: E402
-from keelgap.catalog.readers import ReaderElection  # noqa: E402
-from keelgap_balancer.packets.__main__ import main  # noqa: E402
+from keelgap.catalog import defaults
+from keelgap.catalog.readers import ReaderElection
 
+_BALANCER = Path(__file__).parents[2] / 'deploy' / 'balancer.py'
 _LONG_SECONDS = 12.0
 
 
@@ -22,4 +19,4 @@
 
 defaults.CLAIM_TTL_SECONDS = _LONG_SECONDS  # type: ignore[misc]
 ReaderElection.record_loss = _ignore_loss  # type: ignore[method-assign]
-sys.exit(main(*sys.argv[1:2]))
+runpy.run_path(str(_BALANCER), run_name='__main__')
